--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+# Every target needs nothing but Go.
+GO ?= go
+BIN := bin
+
+.PHONY: build test lint demo chaos bench
+
+build:
+	$(GO) build -trimpath -o $(BIN)/ ./cmd/...
+
+# SKIP is a pattern of tests to pass over; .ci/run sets it from KNOWN-RED.txt.
+test: build
+	$(GO) test -race -timeout 10m $(if $(SKIP),-skip '$(SKIP)') ./...
+
+lint:
+	@unformatted=$$($(GO) tool gofumpt -l $$(git ls-files '*.go' | grep -v '/wire\..*\.go$$')); \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+demo: build
+	$(BIN)/galenastand demo --bin $(BIN)
--- /dev/null
+++ b/cmd/galenactl/main.go
@@ -0,0 +1,10 @@
+// Command galenactl is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"github.com/galenalever/galenalever/internal/ctl"
+)
+
+func main() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,116 @@
+// Package control holds the names of the services and the typed messages that
+// pass between them on the control loop. It contains no behaviour.
+package control
+
+import (
+	"time"
+
+	"github.com/galenalever/galenalever/internal/decision/replicate"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// The names under which services register with the kernel.
+const (
+	Timeline   = "timeline"   // bounded ring of events
+	Metrics    = "metrics"    // tally scope
+	Operator   = "operator"   // operators' HTTP listener
+	Watchdog   = "watchdog"   // detection of pauses
+	Config     = "config"     // accepted configuration
+	Membership = "membership" // instances of the mesh
+	Source     = "source"     // reads the platform
+	Exchange   = "exchange"   // peers: poll and serve
+	Routing    = "routing"    // route table
+	Balancer   = "balancer"   // choice of a server
+	Forward    = "forward"    // attempts at other nodes' gates
+	Ingress    = "ingress"    // callers' HTTP listener
+	Backend    = "backend"    // the server beside this node
+	Quarantine = "quarantine" // requests that crash servers
+	Gate       = "gate"       // the only way to the server
+)
+
+// Origin tells where received state came from.
+type Origin struct {
+	// Platform is true for the configuration service, false for a peer.
+	Platform bool
+	// Peer is the peer's instance ID or address.
+	Peer string
+}
+
+// CutReceived carries a complete cut read from the platform.
+// Sent by source, handled by config.
+type CutReceived struct {
+	Cut model.Cut
+}
+
+// MessageName implements kernel.Message.
+func (CutReceived) MessageName() string { return "cut-received" }
+
+// DeltaReceived carries a peer's answer to a poll.
+// Sent by exchange, handled by config.
+type DeltaReceived struct {
+	From  Origin
+	Delta replicate.Delta
+}
+
+// MessageName implements kernel.Message.
+func (DeltaReceived) MessageName() string { return "delta-received" }
+
+// ConfigurationChanged follows every new configuration snapshot, also when
+// only the cut or the held subtrees changed.
+// Emitted by config.
+type ConfigurationChanged struct {
+	Configuration *model.Configuration
+}
+
+// MessageName implements kernel.Message.
+func (ConfigurationChanged) MessageName() string { return "configuration-changed" }
+
+// MembersReceived carries member records from a peer or the platform.
+// Sent by source and exchange, handled by membership.
+type MembersReceived struct {
+	From    Origin
+	Members []model.Member
+}
+
+// MessageName implements kernel.Message.
+func (MembersReceived) MessageName() string { return "members-received" }
+
+// MembersChanged follows every change of the member view. Changed holds the
+// records that differ from the previous view.
+// Emitted by membership.
+type MembersChanged struct {
+	Changed []model.Member
+}
+
+// MessageName implements kernel.Message.
+func (MembersChanged) MessageName() string { return "members-changed" }
+
+// PresenceChanged tells that this node's own instance reached a new presence.
+// Sent by backend (starting, ready) and by the daemon (leaving, gone); handled
+// by membership, gate and exchange.
+type PresenceChanged struct {
+	Presence model.Presence
+}
+
+// MessageName implements kernel.Message.
+func (PresenceChanged) MessageName() string { return "presence-changed" }
+
+// Paused tells that the process did not run for Gap. Services that hold leases
+// or beliefs about others treat them as expired.
+// Sent by watchdog.
+type Paused struct {
+	Gap time.Duration
+}
+
+// MessageName implements kernel.Message.
+func (Paused) MessageName() string { return "paused" }
+
+// Synchronised tells that the node has heard a current state from a peer or
+// the platform, for the first time or again after a pause.
+// Sent by exchange and source.
+type Synchronised struct {
+	From Origin
+}
+
+// MessageName implements kernel.Message.
+func (Synchronised) MessageName() string { return "synchronised" }
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,19 @@
+// Package ctl holds the commands of galenactl.
+package ctl
+
+import (
+	"io"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/galenalever/galenalever/internal/cli"
+)
+
+type commands struct {
+	Version kong.VersionFlag `help:"Print the version."`
+}
+
+// Main runs one command and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	return cli.Run(&commands{}, "galenactl", "Operate a galenalever mesh.", args, stdout, stderr)
+}
--- /dev/null
+++ b/internal/hop/hop.go
@@ -0,0 +1,170 @@
+// Package hop encodes what two nodes tell each other about one forwarded
+// request. The request itself travels as plain HTTP to the traffic address of
+// the node beside the chosen server; this package owns the extra headers.
+package hop
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+// The headers of a forwarded request and of its answer. Nodes strip them from
+// callers' requests.
+const (
+	HeaderRequestID   = "Galena-Request-Id"
+	HeaderService     = "Galena-Service"
+	HeaderRoute       = "Galena-Route"
+	HeaderClass       = "Galena-Class"
+	HeaderIdempotent  = "Galena-Idempotent"
+	HeaderAttempt     = "Galena-Attempt"
+	HeaderTimeout     = "Galena-Timeout-Us"
+	HeaderIncarnation = "Galena-Incarnation"
+	HeaderTime        = "Galena-Time"
+	HeaderOutcome     = "Galena-Outcome"
+	HeaderReason      = "Galena-Reason"
+	HeaderRetryAfter  = "Galena-Retry-After-Us"
+	HeaderInFlight    = "Galena-In-Flight"
+	HeaderQueued      = "Galena-Queued"
+	HeaderSlots       = "Galena-Slots"
+)
+
+// HeaderPrefix is the canonical start of all headers of this package.
+const HeaderPrefix = "Galena-"
+
+// Request is what the caller's node tells the gate.
+type Request struct {
+	ID         model.RequestID
+	Service    model.ServiceName
+	Route      string
+	Class      model.Class
+	Idempotent bool
+	// Attempt counts from 1.
+	Attempt int
+	// Timeout is the time left until the caller's deadline.
+	Timeout time.Duration
+	// Incarnation is the gate's process that the caller's node means; 0 means
+	// any. A gate refuses a request that means another process.
+	Incarnation model.Incarnation
+	Time        timeline.Timestamp
+}
+
+// Encode sets the headers of a forwarded request.
+func (r Request) Encode(h http.Header) {
+	h.Set(HeaderRequestID, string(r.ID))
+	h.Set(HeaderService, string(r.Service))
+	h.Set(HeaderRoute, r.Route)
+	h.Set(HeaderClass, string(r.Class))
+	h.Set(HeaderIdempotent, strconv.FormatBool(r.Idempotent))
+	h.Set(HeaderAttempt, strconv.Itoa(r.Attempt))
+	h.Set(HeaderTimeout, strconv.FormatInt(r.Timeout.Microseconds(), 10))
+	h.Set(HeaderIncarnation, strconv.FormatUint(uint64(r.Incarnation), 10))
+	h.Set(HeaderTime, strconv.FormatUint(uint64(r.Time), 10))
+}
+
+// DecodeRequest reads the headers of a forwarded request. It reports false if
+// the request did not come from a node.
+func DecodeRequest(h http.Header) (Request, bool) {
+	r := Request{
+		ID:         model.RequestID(h.Get(HeaderRequestID)),
+		Service:    model.ServiceName(h.Get(HeaderService)),
+		Route:      h.Get(HeaderRoute),
+		Class:      model.Class(h.Get(HeaderClass)),
+		Idempotent: h.Get(HeaderIdempotent) == "true",
+	}
+	var ok [4]bool
+	var timeout, attempt, incarnation, now int64
+	attempt, ok[0] = number(h, HeaderAttempt)
+	timeout, ok[1] = number(h, HeaderTimeout)
+	incarnation, ok[2] = number(h, HeaderIncarnation)
+	now, ok[3] = number(h, HeaderTime)
+	r.Attempt = int(attempt)
+	r.Timeout = time.Duration(timeout) * time.Microsecond
+	r.Incarnation = model.Incarnation(incarnation)
+	r.Time = timeline.Timestamp(now)
+	valid := r.ID != "" && r.Service != "" && ok == [4]bool{true, true, true, true}
+	return r, valid
+}
+
+// Response is what the gate tells the caller's node.
+type Response struct {
+	// ID repeats the request's ID, so that a crossed answer is noticed.
+	ID      model.RequestID
+	Outcome model.Outcome
+	// Reason is empty for an answered request.
+	Reason model.Reason
+	// RetryAfter is the delay before a retry makes sense; 0 means none known.
+	RetryAfter time.Duration
+	// Load is the gate's load as it answered.
+	Load        Load
+	Incarnation model.Incarnation
+	Time        timeline.Timestamp
+}
+
+// Load is the occupancy of one gate.
+type Load struct {
+	// InFlight counts the requests that hold a slot, Queued those that wait.
+	InFlight, Queued int
+	// Slots is the number of slots.
+	Slots int
+}
+
+// Encode sets the headers of an answer.
+func (r Response) Encode(h http.Header) {
+	h.Set(HeaderRequestID, string(r.ID))
+	h.Set(HeaderOutcome, r.Outcome.String())
+	if r.Reason != "" {
+		h.Set(HeaderReason, string(r.Reason))
+	}
+	if r.RetryAfter > 0 {
+		h.Set(HeaderRetryAfter, strconv.FormatInt(r.RetryAfter.Microseconds(), 10))
+	}
+	h.Set(HeaderInFlight, strconv.Itoa(r.Load.InFlight))
+	h.Set(HeaderQueued, strconv.Itoa(r.Load.Queued))
+	h.Set(HeaderSlots, strconv.Itoa(r.Load.Slots))
+	h.Set(HeaderIncarnation, strconv.FormatUint(uint64(r.Incarnation), 10))
+	h.Set(HeaderTime, strconv.FormatUint(uint64(r.Time), 10))
+}
+
+// DecodeResponse reads the headers of an answer. It reports false if the answer
+// did not come from a gate.
+func DecodeResponse(h http.Header) (Response, bool) {
+	retryAfter, _ := number(h, HeaderRetryAfter)
+	inFlight, _ := number(h, HeaderInFlight)
+	queued, _ := number(h, HeaderQueued)
+	slots, _ := number(h, HeaderSlots)
+	incarnation, _ := number(h, HeaderIncarnation)
+	now, _ := number(h, HeaderTime)
+	r := Response{
+		ID:          model.RequestID(h.Get(HeaderRequestID)),
+		Outcome:     model.ParseOutcome(h.Get(HeaderOutcome)),
+		Reason:      model.Reason(h.Get(HeaderReason)),
+		RetryAfter:  time.Duration(retryAfter) * time.Microsecond,
+		Load:        Load{InFlight: int(inFlight), Queued: int(queued), Slots: int(slots)},
+		Incarnation: model.Incarnation(incarnation),
+		Time:        timeline.Timestamp(now),
+	}
+	return r, r.ID != "" && h.Get(HeaderOutcome) != ""
+}
+
+// Strip removes the headers of this package, so that neither a caller nor a
+// backend server can forge them.
+func Strip(h http.Header) {
+	for name := range h {
+		if len(name) >= len(HeaderPrefix) && name[:len(HeaderPrefix)] == HeaderPrefix {
+			delete(h, name)
+		}
+	}
+}
+
+// number reads a non-negative decimal header.
+func number(h http.Header, name string) (int64, bool) {
+	n, err := strconv.ParseInt(h.Get(name), 10, 64)
+	if err != nil || n < 0 {
+		return 0, false
+	}
+	return n, true
+}
--- /dev/null
+++ b/internal/kernel/kernel_test.go
@@ -0,0 +1,144 @@
+package kernel_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/kernel"
+)
+
+type greeter interface{ Greet() string }
+
+type server struct {
+	name   string
+	events *[]string
+	fail   error
+}
+
+func (s *server) Name() string  { return s.name }
+func (s *server) Greet() string { return "hello from " + s.name }
+
+func (s *server) Start(context.Context) error {
+	*s.events = append(*s.events, "start "+s.name)
+	return s.fail
+}
+
+func (s *server) Stop(context.Context) error {
+	*s.events = append(*s.events, "stop "+s.name)
+	return nil
+}
+
+type client struct {
+	partner  string
+	greeting string
+}
+
+func (c *client) Name() string { return "client of " + c.partner }
+
+func (c *client) Provision(ctx *kernel.Context) error {
+	g, err := kernel.Find[greeter](ctx, c.partner)
+	if err != nil {
+		return err
+	}
+	c.greeting = g.Greet()
+	return nil
+}
+
+func newKernel() *kernel.Kernel {
+	return kernel.New(clock.System{}, slog.New(slog.DiscardHandler))
+}
+
+func TestServicesFindEachOtherByName(t *testing.T) {
+	var events []string
+	k := newKernel()
+	c := &client{partner: "a"}
+	if err := k.Register(&server{name: "a", events: &events}, &server{name: "b", events: &events}, c); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if c.greeting != "hello from a" {
+		t.Errorf("greeting = %q", c.greeting)
+	}
+	want := "start a,start b,stop b,stop a"
+	if got := strings.Join(events, ","); got != want {
+		t.Errorf("events = %s, want %s", got, want)
+	}
+}
+
+func TestProvisionReportsAllFaults(t *testing.T) {
+	k := newKernel()
+	if err := k.Register(&client{partner: "x"}, &client{partner: "y"}); err != nil {
+		t.Fatal(err)
+	}
+	err := k.Start(t.Context())
+	if err == nil || !strings.Contains(err.Error(), `"x"`) || !strings.Contains(err.Error(), `"y"`) {
+		t.Errorf("error = %v, want both missing partners", err)
+	}
+}
+
+func TestFailedStartStopsStartedServices(t *testing.T) {
+	var events []string
+	k := newKernel()
+	bad := errors.New("no port")
+	if err := k.Register(&server{name: "a", events: &events}, &server{name: "b", events: &events, fail: bad}); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Start(t.Context()); !errors.Is(err, bad) {
+		t.Errorf("error = %v, want %v", err, bad)
+	}
+	if got := strings.Join(events, ","); got != "start a,start b,stop a" {
+		t.Errorf("events = %s", got)
+	}
+}
+
+type tick struct{ n int }
+
+func (tick) MessageName() string { return "tick" }
+
+func TestLoopRunsEmittedMessagesBeforeTheMailbox(t *testing.T) {
+	fake := clock.NewFake(time.Unix(0, 0))
+	loop := kernel.NewLoop(fake, slog.New(slog.DiscardHandler))
+	var got []int
+	kernel.Subscribe(loop, func(m tick) {
+		got = append(got, m.n)
+		if m.n == 1 {
+			loop.Emit(tick{n: 10})
+		}
+	})
+	loop.After(time.Second, tick{n: 3})
+	loop.TryPost(tick{n: 1})
+	loop.TryPost(tick{n: 2})
+	loop.Drain()
+	fake.Advance(time.Second)
+	loop.Drain()
+	want := []int{1, 10, 2, 3}
+	if len(got) != len(want) {
+		t.Fatalf("got %v, want %v", got, want)
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Errorf("got %v, want %v", got, want)
+			break
+		}
+	}
+}
+
+func TestSnapshotWakesWatchers(t *testing.T) {
+	s := kernel.NewSnapshot(1)
+	value, changed := s.Watch()
+	s.Store(2)
+	<-changed
+	if value != 1 || s.Load() != 2 {
+		t.Errorf("value %d then %d", value, s.Load())
+	}
+}
--- /dev/null
+++ b/internal/kernel/snapshot.go
@@ -0,0 +1,39 @@
+package kernel
+
+import "sync/atomic"
+
+// Snapshot hands out the current immutable value of some control state. The
+// control goroutine stores; any goroutine loads or watches without locks.
+type Snapshot[T any] struct {
+	current atomic.Pointer[version[T]]
+}
+
+type version[T any] struct {
+	value   T
+	changed chan struct{}
+}
+
+// NewSnapshot returns a snapshot that holds initial.
+func NewSnapshot[T any](initial T) *Snapshot[T] {
+	s := &Snapshot[T]{}
+	s.current.Store(&version[T]{value: initial, changed: make(chan struct{})})
+	return s
+}
+
+// Load returns the current value, which must not be modified.
+func (s *Snapshot[T]) Load() T { return s.current.Load().value }
+
+// Watch returns the current value and a channel that is closed when a newer one
+// has been stored.
+func (s *Snapshot[T]) Watch() (T, <-chan struct{}) {
+	v := s.current.Load()
+	return v.value, v.changed
+}
+
+// Store publishes a new value and wakes the watchers. Only the owner, on the
+// control goroutine, may call it.
+func (s *Snapshot[T]) Store(value T) {
+	next := &version[T]{value: value, changed: make(chan struct{})}
+	old := s.current.Swap(next)
+	close(old.changed)
+}
--- /dev/null
+++ b/internal/model/config.go
@@ -0,0 +1,110 @@
+package model
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+
+	"github.com/galenalever/galenalever/internal/findings"
+)
+
+// Key names one value of the platform's configuration service: the root
+// document or one team's document.
+type Key string
+
+// RootKey is the key of the document that grants each team its claims.
+const RootKey Key = "root"
+
+// TeamKey returns the key of a team's document.
+func TeamKey(team TeamName) Key { return Key("teams/" + string(team)) }
+
+// Leaf is the smallest unit of a delta: one service, route or grant in its
+// canonical encoding.
+type Leaf struct {
+	// Path is unique within the subtree, such as "routes/book".
+	Path string
+	// Value is the canonical JSON encoding of the typed value.
+	Value []byte
+	// Changed is the subtree revision at which this node learnt the value. It
+	// is never earlier than the true revision of the change.
+	Changed Revision
+}
+
+// Hash is a SHA-256 digest.
+type Hash [sha256.Size]byte
+
+// DroppedLeaf records the removal of a leaf, so that deltas carry it.
+type DroppedLeaf struct {
+	Path    string
+	Changed Revision
+}
+
+// Subtree is one version of one document. It is taken whole or not at all.
+type Subtree struct {
+	Key      Key
+	Revision Revision
+	// Removed marks the deletion of the document. It has no leaves.
+	Removed bool
+	// Rejected holds the findings of a document that cannot be parsed or is
+	// not valid on its own. It has no leaves and is never accepted.
+	Rejected findings.List
+	// Leaves are sorted by path.
+	Leaves []Leaf
+	// Dropped are the leaves removed since Horizon, sorted by path. A delta
+	// from a base before Horizon must carry the whole subtree.
+	Dropped []DroppedLeaf
+	Horizon Revision
+	// Hash covers the paths and values of all leaves.
+	Hash Hash
+}
+
+// HashLeaves returns the digest over the paths and values of leaves, which are
+// sorted by path.
+func HashLeaves(leaves []Leaf) Hash {
+	h := sha256.New()
+	var size [8]byte
+	write := func(b []byte) {
+		binary.BigEndian.PutUint64(size[:], uint64(len(b)))
+		h.Write(size[:])
+		h.Write(b)
+	}
+	for _, leaf := range leaves {
+		write([]byte(leaf.Path))
+		write(leaf.Value)
+	}
+	return Hash(h.Sum(nil))
+}
+
+// SortLeaves orders leaves by path.
+func SortLeaves(leaves []Leaf) {
+	slices.SortFunc(leaves, func(a, b Leaf) int { return cmp.Compare(a.Path, b.Path) })
+}
+
+// Cut is a consistent state of the configuration service: for every key the
+// latest subtree at or before Revision. Cuts are totally ordered by revision;
+// a node only ever moves to a greater one.
+type Cut struct {
+	Revision Revision
+	Subtrees map[Key]*Subtree
+}
+
+// Held is a subtree of the cut that is not in force, and why.
+type Held struct {
+	Key      Key           `json:"key"`
+	Revision Revision      `json:"revision"`
+	Findings findings.List `json:"findings"`
+}
+
+// Configuration is what a node knows and runs. It is an immutable snapshot.
+type Configuration struct {
+	// Cut is the newest state known, accepted or not.
+	Cut Cut
+	// Running holds the accepted subtree of each key. Revisions of a key only
+	// grow, a removal included.
+	Running map[Key]*Subtree
+	// Held lists the subtrees of the cut that are not in Running.
+	Held []Held
+	// Tree is the composition of Running.
+	Tree *Tree
+}
--- /dev/null
+++ b/internal/model/member.go
@@ -0,0 +1,103 @@
+package model
+
+// Presence is the state of an instance as its own node announces it. Within one
+// incarnation it only grows.
+type Presence uint8
+
+const (
+	// PresenceUnknown means that the instance has not announced itself.
+	PresenceUnknown Presence = iota
+	// PresenceStarting means that the node runs and its server is not ready.
+	PresenceStarting
+	// PresenceReady means that the server takes requests.
+	PresenceReady
+	// PresenceLeaving means that the server finishes its work and takes no new
+	// requests.
+	PresenceLeaving
+	// PresenceGone means that the node has shut down.
+	PresenceGone
+)
+
+// String returns the name used in status pages and logs.
+func (p Presence) String() string {
+	switch p {
+	case PresenceStarting:
+		return "starting"
+	case PresenceReady:
+		return "ready"
+	case PresenceLeaving:
+		return "leaving"
+	case PresenceGone:
+		return "gone"
+	default:
+		return "unknown"
+	}
+}
+
+// Listing is the state of an instance in the platform's lagging list.
+type Listing uint8
+
+const (
+	// ListingUnknown means that the platform has not listed the instance.
+	ListingUnknown Listing = iota
+	// ListingLive means that the platform lists it as live.
+	ListingLive
+	// ListingLeaving means that the platform marked it to leave.
+	ListingLeaving
+	// ListingRemoved means that the platform no longer lists it.
+	ListingRemoved
+)
+
+// Addresses are the host:port pairs of one node.
+type Addresses struct {
+	// Traffic takes requests from other nodes.
+	Traffic string `json:"traffic"`
+	// Control takes exchanges from other nodes.
+	Control string `json:"control"`
+	// Operator serves status, time line and metrics.
+	Operator string `json:"operator"`
+}
+
+// Announcement is what a node says of its own instance. The greater
+// incarnation wins; within one, the greater presence.
+type Announcement struct {
+	Incarnation Incarnation `json:"incarnation"`
+	Presence    Presence    `json:"presence"`
+}
+
+// Supersedes reports whether a replaces b.
+func (a Announcement) Supersedes(b Announcement) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Presence > b.Presence
+}
+
+// Member is what is known of one instance. The announcement and the listing
+// come from different writers and are merged independently of each other.
+type Member struct {
+	ID        InstanceID    `json:"id"`
+	Service   ServiceName   `json:"service"`
+	Domain    FailureDomain `json:"domain"`
+	Addresses Addresses     `json:"addresses"`
+	// Announced is the newest announcement of the instance's node.
+	Announced Announcement `json:"announced"`
+	// Listed is the platform's state at ListedAt; the greater revision wins.
+	Listed   Listing  `json:"listed"`
+	ListedAt Revision `json:"listed_at"`
+}
+
+// Present reports whether new requests may be sent to the instance.
+func (m Member) Present() bool {
+	if m.Listed == ListingLeaving || m.Listed == ListingRemoved {
+		return false
+	}
+	switch m.Announced.Presence {
+	case PresenceReady:
+		return true
+	case PresenceUnknown:
+		return m.Listed == ListingLive
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,112 @@
+// Package settings holds the process settings of the daemon. Every setting is
+// a flag and an environment variable; all faults are reported together.
+package settings
+
+import (
+	"net"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/findings"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// Daemon is the settings of one node. The tags are read by kong.
+type Daemon struct {
+	Instance string `help:"ID of the backend server instance; unique in the mesh." env:"GALENA_INSTANCE" required:""`
+	Service  string `help:"Service of the backend server, as team/service." env:"GALENA_SERVICE" required:""`
+	Domain   string `help:"Failure domain of the instance." env:"GALENA_DOMAIN" required:""`
+
+	Backend        string        `help:"URL of the backend server beside this node." env:"GALENA_BACKEND" required:""`
+	HealthPath     string        `help:"Path of the backend server's health check." env:"GALENA_HEALTH_PATH" default:"/healthz"`
+	HealthInterval time.Duration `help:"Time between two health checks." env:"GALENA_HEALTH_INTERVAL" default:"1s"`
+
+	Platform     string        `help:"URL of the platform's configuration service." env:"GALENA_PLATFORM" required:""`
+	Peers        []string      `help:"Control addresses of nodes to ask first." env:"GALENA_PEERS" name:"peer"`
+	BootstrapFor time.Duration `help:"How long a fresh process asks peers before it reads the platform itself." env:"GALENA_BOOTSTRAP_FOR" default:"2s"`
+
+	Listen         string `help:"Address for callers." env:"GALENA_LISTEN" default:"127.0.0.1:0"`
+	ListenTraffic  string `help:"Address for requests from other nodes." env:"GALENA_LISTEN_TRAFFIC" default:"127.0.0.1:0"`
+	ListenControl  string `help:"Address for exchanges with other nodes." env:"GALENA_LISTEN_CONTROL" default:"127.0.0.1:0"`
+	ListenOperator string `help:"Address for operators: status, time line, metrics." env:"GALENA_LISTEN_OPERATOR" default:"127.0.0.1:0"`
+
+	AdvertiseTraffic  string `help:"Traffic address that other nodes use; default is the listener's." env:"GALENA_ADVERTISE_TRAFFIC"`
+	AdvertiseControl  string `help:"Control address that other nodes use; default is the listener's." env:"GALENA_ADVERTISE_CONTROL"`
+	AdvertiseOperator string `help:"Operator address that tools use; default is the listener's." env:"GALENA_ADVERTISE_OPERATOR"`
+
+	DrainTimeout time.Duration `help:"Longest wait for running requests at shutdown." env:"GALENA_DRAIN_TIMEOUT" default:"5m"`
+
+	LogFormat string `help:"Log format: text or json." env:"GALENA_LOG_FORMAT" enum:"text,json" default:"text"`
+	LogLevel  string `help:"Lowest level logged: debug, info, warn or error." env:"GALENA_LOG_LEVEL" enum:"debug,info,warn,error" default:"info"`
+}
+
+// Check returns all faults of the settings.
+func (d *Daemon) Check() findings.List {
+	var list findings.List
+	checkName(&list, "--instance", d.Instance)
+	checkName(&list, "--domain", d.Domain)
+	checkServiceName(&list, d.Service)
+	checkURL(&list, "--backend", d.Backend)
+	checkURL(&list, "--platform", d.Platform)
+	if !strings.HasPrefix(d.HealthPath, "/") {
+		list.Addf(flag("--health-path"), "%q does not start with /", d.HealthPath)
+	}
+	checkPositive(&list, "--health-interval", d.HealthInterval)
+	checkPositive(&list, "--bootstrap-for", d.BootstrapFor)
+	checkPositive(&list, "--drain-timeout", d.DrainTimeout)
+	for _, peer := range d.Peers {
+		checkAddress(&list, "--peer", peer)
+	}
+	checkAddress(&list, "--listen", d.Listen)
+	checkAddress(&list, "--listen-traffic", d.ListenTraffic)
+	checkAddress(&list, "--listen-control", d.ListenControl)
+	checkAddress(&list, "--listen-operator", d.ListenOperator)
+	checkOptionalAddress(&list, "--advertise-traffic", d.AdvertiseTraffic)
+	checkOptionalAddress(&list, "--advertise-control", d.AdvertiseControl)
+	checkOptionalAddress(&list, "--advertise-operator", d.AdvertiseOperator)
+	return list
+}
+
+// ServiceName returns the service of the backend server.
+func (d *Daemon) ServiceName() model.ServiceName { return model.ServiceName(d.Service) }
+
+func flag(name string) findings.Place { return findings.Place{Source: name} }
+
+func checkName(list *findings.List, name, value string) {
+	if value == "" || strings.ContainsAny(value, " \t\n/") {
+		list.Addf(flag(name), "%q is not a name: it must not be empty or contain spaces or slashes", value)
+	}
+}
+
+func checkServiceName(list *findings.List, value string) {
+	team, service, ok := strings.Cut(value, "/")
+	if !ok || team == "" || service == "" || strings.ContainsAny(service, "/ ") {
+		list.Addf(flag("--service"), "%q is not of the form team/service", value)
+	}
+}
+
+func checkURL(list *findings.List, name, value string) {
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		list.Addf(flag(name), "%q is not an http URL", value)
+	}
+}
+
+func checkAddress(list *findings.List, name, value string) {
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		list.Addf(flag(name), "%q is not host:port", value)
+	}
+}
+
+func checkOptionalAddress(list *findings.List, name, value string) {
+	if value != "" {
+		checkAddress(list, name, value)
+	}
+}
+
+func checkPositive(list *findings.List, name string, value time.Duration) {
+	if value <= 0 {
+		list.Addf(flag(name), "%s is not a positive duration", value)
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,43 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/settings"
+)
+
+func valid() settings.Daemon {
+	return settings.Daemon{
+		Instance: "katalog-1", Service: "katalog/katalog", Domain: "jkt",
+		Backend: "http://127.0.0.1:8080", HealthPath: "/healthz", HealthInterval: time.Second,
+		Platform: "http://127.0.0.1:8081", BootstrapFor: time.Second, DrainTimeout: time.Minute,
+		Listen: "127.0.0.1:0", ListenTraffic: "127.0.0.1:0", ListenControl: "127.0.0.1:0", ListenOperator: "127.0.0.1:0",
+	}
+}
+
+func TestValidSettingsHaveNoFindings(t *testing.T) {
+	d := valid()
+	if list := d.Check(); len(list) > 0 {
+		t.Errorf("findings: %v", list.Err())
+	}
+}
+
+func TestAllFaultsAreReportedTogether(t *testing.T) {
+	d := valid()
+	d.Instance = "a b"
+	d.Service = "katalog"
+	d.Backend = "127.0.0.1"
+	d.Peers = []string{"nowhere"}
+	d.HealthInterval = 0
+	err := d.Check().Err()
+	if err == nil {
+		t.Fatal("no findings")
+	}
+	for _, name := range []string{"--instance", "--service", "--backend", "--peer", "--health-interval"} {
+		if !strings.Contains(err.Error(), name) {
+			t.Errorf("no finding for %s in:\n%v", name, err)
+		}
+	}
+}
