--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -55,6 +55,19 @@
 // MessageName implements kernel.Message.
 func (DeltaReceived) MessageName() string { return "delta-received" }
 
+// WholeSubtreesNeeded follows a delta that failed its hash checks. The next
+// poll asks for the keys whole; with All it asks from cut revision 0, which
+// yields the complete cut.
+// Emitted by config, handled by exchange.
+type WholeSubtreesNeeded struct {
+	From Origin
+	Keys []model.Key
+	All  bool
+}
+
+// MessageName implements kernel.Message.
+func (WholeSubtreesNeeded) MessageName() string { return "whole-subtrees-needed" }
+
 // ConfigurationChanged follows every new configuration snapshot, also when
 // only the cut or the held subtrees changed.
 // Emitted by config.
--- /dev/null
+++ b/internal/decision/replicate/advance.go
@@ -0,0 +1,143 @@
+package replicate
+
+import (
+	"bytes"
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// Bounds of what a cut remembers about removals. A peer whose base is older
+// than what is remembered gets the subtree whole, or, when it misses a
+// tombstone, fails the digest and asks for the complete cut. So dropping the
+// oldest costs bytes and never brings a removed subtree or leaf back.
+const (
+	maxDroppedLeaves = 256 // per subtree
+	maxTombstones    = 256 // per cut
+)
+
+// ErrRegressed marks a cut in which some key is older than a lesser cut said.
+var ErrRegressed = eris.New("cut is inconsistent")
+
+// Advance moves from a known cut to one read from the platform. Leaves that did
+// not change keep their stamps, and unchanged subtrees their identity; keys that
+// are missing in next become tombstones. A cut that is not newer changes
+// nothing. A newer cut that holds an older subtree is refused whole.
+func Advance(known, next model.Cut) (model.Cut, error) {
+	if next.Revision <= known.Revision {
+		return known, nil
+	}
+	merged := model.Cut{Revision: next.Revision, Subtrees: make(map[model.Key]*model.Subtree, len(next.Subtrees))}
+	for key, subtree := range next.Subtrees {
+		previous := known.Subtrees[key]
+		if err := checkProgress(previous, subtree, next.Revision); err != nil {
+			return known, err
+		}
+		merged.Subtrees[key] = advanceSubtree(previous, subtree)
+	}
+	for key, previous := range known.Subtrees {
+		if _, ok := merged.Subtrees[key]; ok {
+			continue
+		}
+		if !previous.Removed {
+			previous = tombstone(key, next.Revision)
+		}
+		merged.Subtrees[key] = previous
+	}
+	return dropOldTombstones(merged), nil
+}
+
+func checkProgress(previous, next *model.Subtree, cut model.Revision) error {
+	if next.Revision > cut {
+		return eris.Wrapf(ErrRegressed, "key %s has revision %d after the cut's %d", next.Key, next.Revision, cut)
+	}
+	if previous != nil && next.Revision < previous.Revision {
+		return eris.Wrapf(ErrRegressed, "key %s has revision %d, known is %d", next.Key, next.Revision, previous.Revision)
+	}
+	return nil
+}
+
+// advanceSubtree stamps the leaves of next against the previous version.
+func advanceSubtree(previous, next *model.Subtree) *model.Subtree {
+	if previous != nil && previous.Revision == next.Revision {
+		return previous
+	}
+	if !hasLeaves(previous) || !hasLeaves(next) {
+		return next
+	}
+	stamped := *next
+	old := make(map[string]model.Leaf, len(previous.Leaves))
+	for _, leaf := range previous.Leaves {
+		old[leaf.Path] = leaf
+	}
+	dropped := make(map[string]model.Revision)
+	for _, d := range previous.Dropped {
+		dropped[d.Path] = d.Changed
+	}
+	stamped.Leaves = slices.Clone(next.Leaves)
+	for i := range stamped.Leaves {
+		leaf := &stamped.Leaves[i]
+		if before, ok := old[leaf.Path]; ok && bytes.Equal(before.Value, leaf.Value) {
+			*leaf = before
+		} else {
+			leaf.Changed = next.Revision
+		}
+		delete(old, leaf.Path)
+		delete(dropped, leaf.Path)
+	}
+	for path := range old {
+		dropped[path] = next.Revision
+	}
+	stamped.Dropped, stamped.Horizon = boundDropped(dropped, previous.Horizon)
+	return &stamped
+}
+
+// boundDropped sorts the dropped leaves and forgets the oldest beyond the
+// bound, which moves the horizon.
+func boundDropped(dropped map[string]model.Revision, horizon model.Revision) ([]model.DroppedLeaf, model.Revision) {
+	if len(dropped) == 0 {
+		return nil, horizon
+	}
+	list := make([]model.DroppedLeaf, 0, len(dropped))
+	for path, changed := range dropped {
+		list = append(list, model.DroppedLeaf{Path: path, Changed: changed})
+	}
+	slices.SortFunc(list, func(a, b model.DroppedLeaf) int {
+		return cmp.Or(cmp.Compare(b.Changed, a.Changed), cmp.Compare(a.Path, b.Path))
+	})
+	if len(list) > maxDroppedLeaves {
+		horizon = max(horizon, list[maxDroppedLeaves].Changed)
+		list = list[:maxDroppedLeaves]
+	}
+	slices.SortFunc(list, func(a, b model.DroppedLeaf) int { return cmp.Compare(a.Path, b.Path) })
+	return list, horizon
+}
+
+func tombstone(key model.Key, revision model.Revision) *model.Subtree {
+	return &model.Subtree{Key: key, Revision: revision, Removed: true, Horizon: revision}
+}
+
+// dropOldTombstones forgets the oldest tombstones beyond the bound.
+func dropOldTombstones(cut model.Cut) model.Cut {
+	var removed []*model.Subtree
+	for _, subtree := range cut.Subtrees {
+		if subtree.Removed {
+			removed = append(removed, subtree)
+		}
+	}
+	if len(removed) <= maxTombstones {
+		return cut
+	}
+	slices.SortFunc(removed, func(a, b *model.Subtree) int {
+		return cmp.Or(cmp.Compare(b.Revision, a.Revision), cmp.Compare(a.Key, b.Key))
+	})
+	bounded := model.Cut{Revision: cut.Revision, Subtrees: maps.Clone(cut.Subtrees)}
+	for _, subtree := range removed[maxTombstones:] {
+		delete(bounded.Subtrees, subtree.Key)
+	}
+	return bounded
+}
--- /dev/null
+++ b/internal/decision/replicate/apply.go
@@ -0,0 +1,151 @@
+package replicate
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// Result tells what became of a received delta. Unless the delta was applied
+// completely and its digest holds, Cut is the cut from before.
+type Result struct {
+	Cut model.Cut
+	// Mismatched lists the keys to ask for whole, sorted.
+	Mismatched []model.Key
+	// Resync means that the complete cut is needed: the digest fails although
+	// every received subtree is sound.
+	Resync bool
+}
+
+// Apply moves cut forward by a delta. A delta that is not newer changes
+// nothing. A delta from a base that cut does not hold is found by the hash of
+// the subtree or the digest of the cut.
+func Apply(cut model.Cut, delta Delta) Result {
+	if delta.Revision <= cut.Revision {
+		return Result{Cut: cut}
+	}
+	received := make(map[model.Key]*model.Subtree, len(delta.Subtrees))
+	var mismatched []model.Key
+	for _, change := range delta.Subtrees {
+		key := change.Subtree.Key
+		subtree, ok := applySubtree(cut, change, delta.Revision)
+		if !ok {
+			mismatched = append(mismatched, key)
+			continue
+		}
+		received[key] = subtree
+	}
+	if len(mismatched) > 0 {
+		slices.Sort(mismatched)
+		return Result{Cut: cut, Mismatched: slices.Compact(mismatched)}
+	}
+	if next, ok := verified(overlay(cut, received, delta.Revision), delta); ok {
+		return Result{Cut: next}
+	}
+	if next, ok := verified(replacement(cut, received, delta.Revision), delta); ok && isComplete(delta) {
+		return Result{Cut: next}
+	}
+	return Result{Cut: cut, Resync: true}
+}
+
+func verified(cut model.Cut, delta Delta) (model.Cut, bool) {
+	return dropOldTombstones(cut), Digest(cut) == delta.Digest
+}
+
+// overlay keeps what the delta does not mention.
+func overlay(cut model.Cut, received map[model.Key]*model.Subtree, revision model.Revision) model.Cut {
+	next := model.Cut{Revision: revision, Subtrees: maps.Clone(cut.Subtrees)}
+	if next.Subtrees == nil {
+		next.Subtrees = make(map[model.Key]*model.Subtree, len(received))
+	}
+	maps.Copy(next.Subtrees, received)
+	return next
+}
+
+// replacement takes the delta as the complete cut: what it does not mention was
+// removed.
+func replacement(cut model.Cut, received map[model.Key]*model.Subtree, revision model.Revision) model.Cut {
+	next := overlay(cut, received, revision)
+	for key, subtree := range next.Subtrees {
+		if _, ok := received[key]; !ok && !subtree.Removed {
+			next.Subtrees[key] = tombstone(key, revision)
+		}
+	}
+	return next
+}
+
+func isComplete(delta Delta) bool {
+	return !slices.ContainsFunc(delta.Subtrees, func(change SubtreeDelta) bool { return change.Base != 0 })
+}
+
+// applySubtree returns the new version of one subtree, or false when it cannot
+// be derived from the version in cut or would be older.
+func applySubtree(cut model.Cut, change SubtreeDelta, revision model.Revision) (*model.Subtree, bool) {
+	previous := cut.Subtrees[change.Subtree.Key]
+	if change.Subtree.Revision == 0 || change.Subtree.Revision > revision {
+		return nil, false
+	}
+	if previous != nil && change.Subtree.Revision < previous.Revision {
+		return nil, false
+	}
+	if change.Base == 0 {
+		return takeWhole(change)
+	}
+	if change.Base > cut.Revision || !hasLeaves(previous) {
+		return nil, false
+	}
+	return mergeSubtree(previous, change.Subtree)
+}
+
+// takeWhole checks a subtree that was sent whole.
+func takeWhole(change SubtreeDelta) (*model.Subtree, bool) {
+	subtree := change.Subtree
+	if change.Base != 0 || subtree.Revision == 0 {
+		return nil, false
+	}
+	if !hasLeaves(&subtree) {
+		subtree.Leaves, subtree.Dropped, subtree.Horizon = nil, nil, subtree.Revision
+		return &subtree, !subtree.Removed || len(subtree.Rejected) == 0
+	}
+	return &subtree, sound(&subtree)
+}
+
+// mergeSubtree puts changed and dropped leaves over the previous version.
+func mergeSubtree(previous *model.Subtree, change model.Subtree) (*model.Subtree, bool) {
+	leaves := make(map[string]model.Leaf, len(previous.Leaves)+len(change.Leaves))
+	for _, leaf := range previous.Leaves {
+		leaves[leaf.Path] = leaf
+	}
+	dropped := make(map[string]model.Revision, len(previous.Dropped)+len(change.Dropped))
+	for _, d := range previous.Dropped {
+		dropped[d.Path] = d.Changed
+	}
+	for _, d := range change.Dropped {
+		delete(leaves, d.Path)
+		dropped[d.Path] = max(d.Changed, dropped[d.Path])
+	}
+	for _, leaf := range change.Leaves {
+		leaves[leaf.Path] = leaf
+		delete(dropped, leaf.Path)
+	}
+	next := change
+	next.Leaves = slices.Collect(maps.Values(leaves))
+	model.SortLeaves(next.Leaves)
+	next.Dropped, next.Horizon = boundDropped(dropped, previous.Horizon)
+	return &next, sound(&next)
+}
+
+// sound reports whether the leaves are in order, no stamp is later than the
+// subtree, and the hash holds.
+func sound(subtree *model.Subtree) bool {
+	for i, leaf := range subtree.Leaves {
+		if leaf.Changed > subtree.Revision {
+			return false
+		}
+		if i > 0 && subtree.Leaves[i-1].Path >= leaf.Path {
+			return false
+		}
+	}
+	return model.HashLeaves(subtree.Leaves) == subtree.Hash
+}
--- /dev/null
+++ b/internal/decision/replicate/digest.go
@@ -0,0 +1,37 @@
+package replicate
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// Digest identifies the present subtrees of a cut. Tombstones are left out, so
+// a node may drop them without its digest differing from its peers'.
+func Digest(cut model.Cut) model.Hash {
+	h := sha256.New()
+	var buffer []byte
+	for _, key := range slices.Sorted(maps.Keys(cut.Subtrees)) {
+		subtree := cut.Subtrees[key]
+		if subtree.Removed {
+			continue
+		}
+		buffer = binary.BigEndian.AppendUint64(buffer[:0], uint64(len(key)))
+		buffer = append(buffer, key...)
+		buffer = binary.BigEndian.AppendUint64(buffer, uint64(subtree.Revision))
+		buffer = append(buffer, rejectedMark(subtree))
+		buffer = append(buffer, subtree.Hash[:]...)
+		h.Write(buffer)
+	}
+	return model.Hash(h.Sum(nil))
+}
+
+func rejectedMark(subtree *model.Subtree) byte {
+	if len(subtree.Rejected) > 0 {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/wire/wireconv/member.go
@@ -0,0 +1,76 @@
+package wireconv
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/wire"
+)
+
+// MembersToWire converts member records.
+func MembersToWire(members []model.Member) []*wire.Member {
+	out := make([]*wire.Member, 0, len(members))
+	for _, member := range members {
+		out = append(out, MemberToWire(member))
+	}
+	return out
+}
+
+// MembersFromWire converts received member records. One malformed record is an
+// error for all.
+func MembersFromWire(messages []*wire.Member) ([]model.Member, error) {
+	out := make([]model.Member, 0, len(messages))
+	for _, message := range messages {
+		member, err := MemberFromWire(message)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, member)
+	}
+	return out, nil
+}
+
+// MemberToWire converts one member record.
+func MemberToWire(m model.Member) *wire.Member {
+	return &wire.Member{
+		Id:              string(m.ID),
+		Service:         string(m.Service),
+		Domain:          string(m.Domain),
+		TrafficAddress:  m.Addresses.Traffic,
+		ControlAddress:  m.Addresses.Control,
+		OperatorAddress: m.Addresses.Operator,
+		Incarnation:     uint64(m.Announced.Incarnation),
+		Presence:        uint32(m.Announced.Presence),
+		Listed:          uint32(m.Listed),
+		ListedAt:        uint64(m.ListedAt),
+	}
+}
+
+// MemberFromWire converts one received member record.
+func MemberFromWire(message *wire.Member) (model.Member, error) {
+	if message.GetId() == "" {
+		return model.Member{}, eris.New("member without an instance ID")
+	}
+	if message.GetPresence() > uint32(model.PresenceGone) {
+		return model.Member{}, eris.Errorf("member %q: presence %d is not known", message.GetId(), message.GetPresence())
+	}
+	if message.GetListed() > uint32(model.ListingRemoved) {
+		return model.Member{}, eris.Errorf("member %q: listing %d is not known", message.GetId(), message.GetListed())
+	}
+	return model.Member{
+		ID:      model.InstanceID(message.GetId()),
+		Service: model.ServiceName(message.GetService()),
+		Domain:  model.FailureDomain(message.GetDomain()),
+		Addresses: model.Addresses{
+			Traffic:  message.GetTrafficAddress(),
+			Control:  message.GetControlAddress(),
+			Operator: message.GetOperatorAddress(),
+		},
+		Announced: model.Announcement{
+			Incarnation: model.Incarnation(message.GetIncarnation()),
+			Presence:    model.Presence(message.GetPresence()),
+		},
+		Listed:   model.Listing(message.GetListed()),
+		ListedAt: model.Revision(message.GetListedAt()),
+	}, nil
+}
