Parse and check the documents of the settings tree

Documents are read from the syntax tree rather than decoded into structs, so that unknown fields, duplicate keys, wrong types and values out of range are reported in one pass with line and column; the library's strict decoder stops at the first. Anchors, aliases, tags and deep nesting are refused before the recursive parser runs. A value at fault becomes a rejected subtree.

--- /dev/null
+++ b/internal/document/document.go
@@ -0,0 +1,92 @@
+// Package document encodes the settings tree: it parses and checks the YAML
+// documents that operators publish, turns them into canonical leaves, and
+// decodes leaves into typed values. All faults of a document are reported
+// together, each with its line and column.
+package document
+
+import (
+	"encoding/json"
+
+	"github.com/galenalever/galenalever/internal/findings"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// Bounds of one document.
+const (
+	// MaxBytes is the largest document, as the platform holds no larger value.
+	MaxBytes = 1 << 20
+	// maxFindings bounds the findings of one document, which travel between
+	// nodes. A last finding counts the rest.
+	maxFindings = 50
+)
+
+// ParseRoot parses the root document. Leaves are nil if there are findings.
+// Source names the document in findings.
+func ParseRoot(source string, text []byte) ([]model.Leaf, findings.List) {
+	r := &reader{source: source}
+	var declarations model.Declarations
+	if body, ok := r.parse(text); ok {
+		declarations.Grants = r.root(body)
+	}
+	return r.finish(declarations)
+}
+
+// ParseTeam parses the document of a team. Leaves are nil if there are
+// findings. Source names the document in findings.
+func ParseTeam(source string, team model.TeamName, text []byte) ([]model.Leaf, findings.List) {
+	r := &reader{source: source}
+	var declarations model.Declarations
+	if body, ok := r.parse(text); ok {
+		declarations = r.team(body, team)
+	}
+	return r.finish(declarations)
+}
+
+func (r *reader) finish(declarations model.Declarations) ([]model.Leaf, findings.List) {
+	if len(r.list) > 0 {
+		r.list.Sort()
+		return nil, bounded(r.list, r.source)
+	}
+	return encode(declarations), nil
+}
+
+func bounded(list findings.List, source string) findings.List {
+	if len(list) <= maxFindings {
+		return list
+	}
+	rest := len(list) - maxFindings
+	list = list[:maxFindings:maxFindings]
+	list.Addf(findings.Place{Source: source}, "%d more findings", rest)
+	return list
+}
+
+// The first segments of leaf paths.
+const (
+	servicesPath = "services/"
+	routesPath   = "routes/"
+	grantsPath   = "grants/"
+)
+
+// encode returns the canonical leaves of the declarations, sorted by path.
+func encode(declarations model.Declarations) []model.Leaf {
+	leaves := make([]model.Leaf, 0, len(declarations.Services)+len(declarations.Routes)+len(declarations.Grants))
+	for _, service := range declarations.Services {
+		leaves = append(leaves, leaf(servicesPath+shortName(service.Name), service))
+	}
+	for _, route := range declarations.Routes {
+		leaves = append(leaves, leaf(routesPath+route.Name, route))
+	}
+	for _, grant := range declarations.Grants {
+		leaves = append(leaves, leaf(grantsPath+string(grant.Team), grant))
+	}
+	model.SortLeaves(leaves)
+	return leaves
+}
+
+func leaf(path string, value any) model.Leaf {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // the model's types always encode
+	}
+	return model.Leaf{Path: path, Value: encoded}
+}
--- /dev/null
+++ b/internal/document/root.go
@@ -0,0 +1,108 @@
+package document
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// root reads the root document: the claims that each team is granted.
+func (r *reader) root(body value) []*model.Grant {
+	var grants []*model.Grant
+	present := r.mapping(body, fields{
+		"teams": func(v value) {
+			r.named(v, func(name string, v value) {
+				grants = append(grants, r.grant(model.TeamName(name), v))
+			})
+		},
+	})
+	if _, ok := present["teams"]; !ok && len(r.list) == 0 {
+		r.addf(body, "teams is missing")
+	}
+	return grants
+}
+
+func (r *reader) grant(team model.TeamName, v value) *model.Grant {
+	grant := &model.Grant{Team: team, PathPrefixes: []string{DefaultPath}}
+	present := r.mapping(v, fields{
+		"hosts": func(v value) {
+			grant.Hosts = r.hosts(v)
+			r.requireItems(v, "at least one host is needed")
+		},
+		"paths": func(v value) {
+			grant.PathPrefixes = r.paths(v)
+			r.requireItems(v, "at least one path is needed; leave the field out for all")
+		},
+	})
+	if _, ok := present["hosts"]; !ok {
+		r.addf(v, "hosts is missing")
+	}
+	return grant
+}
+
+func (r *reader) requireItems(v value, message string) {
+	if list, ok := v.node.(*ast.SequenceNode); ok && len(list.Values) == 0 {
+		r.addf(v, "%s", message)
+	}
+}
+
+// hosts reads a sorted list of host names.
+func (r *reader) hosts(v value) []string {
+	hosts := r.texts(v, r.checkHost)
+	slices.Sort(hosts)
+	return hosts
+}
+
+func (r *reader) checkHost(v value, host string) bool {
+	if isHost(host) {
+		return true
+	}
+	r.addf(v, "%s is not a lower-case host name without port", quote(host))
+	return false
+}
+
+// maxHostLength is the largest length of a host name.
+const maxHostLength = 253
+
+func isHost(host string) bool {
+	if len(host) > maxHostLength {
+		return false
+	}
+	for label := range strings.SplitSeq(host, ".") {
+		if !isName(label) {
+			return false
+		}
+	}
+	return true
+}
+
+// paths reads a sorted list of path prefixes.
+func (r *reader) paths(v value) []string {
+	paths := r.texts(v, r.checkPath)
+	slices.Sort(paths)
+	return paths
+}
+
+// maxPathLength is the largest length of a path prefix.
+const maxPathLength = 1024
+
+func (r *reader) checkPath(v value, path string) bool {
+	switch {
+	case !strings.HasPrefix(path, "/"):
+		r.addf(v, "%s does not start with /", quote(path))
+	case len(path) > maxPathLength:
+		r.addf(v, "path is longer than %d bytes", maxPathLength)
+	case path != "/" && strings.HasSuffix(path, "/"):
+		r.addf(v, "%s ends with /; a prefix matches whole segments without it", quote(path))
+	case strings.Contains(path, "//") || strings.ContainsAny(path, "?#% \t\r\n\\"):
+		r.addf(v, "%s has an empty segment or a character that paths are compared without", quote(path))
+	case slices.ContainsFunc(strings.Split(path, "/"), func(s string) bool { return s == "." || s == ".." }):
+		r.addf(v, "%s has a relative segment", quote(path))
+	default:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/document/subtree.go
@@ -0,0 +1,35 @@
+package document
+
+import (
+	"github.com/galenalever/galenalever/internal/findings"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// NewSubtree turns one value of the platform's configuration service into a
+// subtree. A value that is at fault yields a rejected subtree with findings.
+// Removed states that the platform no longer holds the key.
+func NewSubtree(key model.Key, revision model.Revision, text []byte, removed bool) *model.Subtree {
+	subtree := &model.Subtree{Key: key, Revision: revision, Horizon: revision}
+	if removed {
+		subtree.Removed = true
+		return subtree
+	}
+	subtree.Leaves, subtree.Rejected = parseValue(key, text)
+	for i := range subtree.Leaves {
+		subtree.Leaves[i].Changed = revision
+	}
+	subtree.Hash = model.HashLeaves(subtree.Leaves)
+	return subtree
+}
+
+func parseValue(key model.Key, text []byte) ([]model.Leaf, findings.List) {
+	if key == model.RootKey {
+		return ParseRoot(string(key), text)
+	}
+	if team, ok := key.Team(); ok {
+		return ParseTeam(string(key), team, text)
+	}
+	var list findings.List
+	list.Addf(findings.Place{Source: quote(string(key))}, "key is neither %q nor of the form %q", model.RootKey, model.TeamKey("NAME"))
+	return nil, list
+}
--- /dev/null
+++ b/internal/document/syntax.go
@@ -0,0 +1,124 @@
+package document
+
+import (
+	"errors"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+
+	"github.com/galenalever/galenalever/internal/findings"
+)
+
+// maxDepth bounds the nesting of flow collections and of list markers on one
+// line. It protects the recursive parser from hostile documents.
+const maxDepth = 16
+
+// parse returns the body of the only YAML document in text.
+func (r *reader) parse(text []byte) (value, bool) {
+	if len(text) > MaxBytes {
+		r.addf(value{}, "document has %d bytes, more than the limit of %d", len(text), MaxBytes)
+		return value{}, false
+	}
+	file, err := r.parseSyntax(text)
+	if err != nil {
+		r.addSyntaxError(err)
+	}
+	if len(r.list) > 0 || file == nil {
+		return value{}, false
+	}
+	body, ok := r.onlyBody(file)
+	return value{node: body}, ok
+}
+
+func (r *reader) onlyBody(file *ast.File) (ast.Node, bool) {
+	var bodies []ast.Node
+	for _, document := range file.Docs {
+		if document != nil && document.Body != nil {
+			bodies = append(bodies, document.Body)
+		}
+	}
+	switch len(bodies) {
+	case 0:
+		r.addf(value{}, "document is empty")
+		return nil, false
+	case 1:
+		return bodies[0], true
+	default:
+		r.addf(value{node: bodies[1]}, "a second YAML document begins; only one is allowed")
+		return nil, false
+	}
+}
+
+// parseSyntax parses text. A panic of the YAML library is reported as an error,
+// since a published document must not end the process.
+func (r *reader) parseSyntax(text []byte) (file *ast.File, err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			file, err = nil, errNotYAML
+		}
+	}()
+	tokens := lexer.Tokenize(string(text))
+	r.checkTokens(tokens)
+	if len(r.list) > 0 {
+		return nil, nil
+	}
+	return parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
+}
+
+var errNotYAML = errors.New("document is not YAML")
+
+func (r *reader) addSyntaxError(err error) {
+	var syntax *yaml.SyntaxError
+	if !errors.As(err, &syntax) || syntax.Token == nil || syntax.Token.Position == nil {
+		r.addf(value{}, "%s", shorten(err.Error()))
+		return
+	}
+	r.list.Addf(r.tokenPlace(syntax.Token), "%s", shorten(syntax.Message))
+}
+
+func (r *reader) tokenPlace(t *token.Token) findings.Place {
+	place := findings.Place{Source: r.source}
+	if t.Position != nil {
+		place.Line, place.Column = t.Position.Line, t.Position.Column
+	}
+	return place
+}
+
+// unsupported names the YAML features that documents must not use.
+var unsupported = map[token.Type]string{
+	token.AnchorType:     "anchors (&)",
+	token.AliasType:      "aliases (*)",
+	token.TagType:        "tags (!)",
+	token.MergeKeyType:   "merge keys (<<)",
+	token.MappingKeyType: "explicit keys (?)",
+	token.DirectiveType:  "directives (%)",
+}
+
+// checkTokens reports unsupported features and deep nesting before the parser
+// sees them.
+func (r *reader) checkTokens(tokens token.Tokens) {
+	depth, line, markers := 0, 0, 0
+	for _, t := range tokens {
+		if feature, ok := unsupported[t.Type]; ok {
+			r.list.Addf(r.tokenPlace(t), "%s are not supported; put text that needs the character in quotes", feature)
+		}
+		if t.Position != nil && t.Position.Line != line {
+			line, markers = t.Position.Line, 0
+		}
+		switch t.Type {
+		case token.MappingStartType, token.SequenceStartType:
+			depth++
+		case token.MappingEndType, token.SequenceEndType:
+			depth--
+		case token.SequenceEntryType:
+			markers++
+		}
+		if depth > maxDepth || markers > maxDepth {
+			r.list.Addf(r.tokenPlace(t), "nesting is deeper than %d", maxDepth)
+			return
+		}
+	}
+}
--- a/internal/model/config.go
+++ b/internal/model/config.go
@@ -17,7 +17,7 @@
 const RootKey Key = "root"
 
 // TeamKey returns the key of a team's document.
-func TeamKey(team TeamName) Key { return Key("teams/" + string(team)) }
+func TeamKey(team TeamName) Key { return Key(teamKeyPrefix + string(team)) }
 
 // Leaf is the smallest unit of a delta: one service, route or grant in its
 // canonical encoding.
--- /dev/null
+++ b/internal/model/declarations.go
@@ -0,0 +1,20 @@
+package model
+
+import "strings"
+
+// Declarations is the typed content of one subtree. The root has grants only,
+// a team's subtree services and routes.
+type Declarations struct {
+	Services []*Service
+	Routes   []*Route
+	Grants   []*Grant
+}
+
+// teamKeyPrefix is what the keys of all team documents start with.
+const teamKeyPrefix = "teams/"
+
+// Team returns the team whose document has the key, and whether it is one.
+func (k Key) Team() (TeamName, bool) {
+	name, ok := strings.CutPrefix(string(k), teamKeyPrefix)
+	return TeamName(name), ok && name != ""
+}
