Accept subtrees of a cut by closure of the composition

accept is a pure function of the running subtrees and a cut. A first form searched all changed subtrees again in each round; with 300 teams that need one another in a ring and one fault it ran for over a minute on the control thread, so violations are now kept per subtree and failures of a group are remembered. Held candidates are tried together with those that could mend them, since two new teams may need each other.

--- /dev/null
+++ b/internal/decision/accept/bench_test.go
@@ -0,0 +1,72 @@
+package accept_test
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+	"testing"
+
+	"github.com/galenalever/galenalever/internal/decision/accept"
+	"github.com/galenalever/galenalever/internal/decision/replicate"
+	"github.com/galenalever/galenalever/internal/document"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/standin/history"
+)
+
+// The sizes of the target.
+const (
+	benchTeams    = 300
+	benchServices = 3400
+)
+
+// teamText returns a document with its share of the services, each with a read
+// and a write route.
+func teamText(team, slots int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "team: t%d\nservices:\n", team)
+	for s := team; s < benchServices; s += benchTeams {
+		fmt.Fprintf(&b, "  s%d: {slots: %d}\n", s, slots)
+	}
+	b.WriteString("routes:\n")
+	for s := team; s < benchServices; s += benchTeams {
+		fmt.Fprintf(&b, "  r%d: {service: s%d, path: /s%d, methods: [GET], idempotent: true}\n", s, s, s)
+		next := (s + 1) % benchServices
+		fmt.Fprintf(&b, "  w%d: {service: t%d/s%d, path: /s%d, methods: [POST]}\n", s, next%benchTeams, next, s)
+	}
+	return b.String()
+}
+
+// BenchmarkOneLeaf accepts a change of one service among 3,400 of 300 teams.
+func BenchmarkOneLeaf(b *testing.B) {
+	var tree history.History
+	var root strings.Builder
+	root.WriteString("teams:\n")
+	for team := range benchTeams {
+		fmt.Fprintf(&root, "  t%d: {hosts: [t%d.example]}\n", team, team)
+	}
+	tree.Publish(model.RootKey, root.String())
+	for team := range benchTeams {
+		tree.Publish(model.TeamKey(model.TeamName(fmt.Sprintf("t%d", team))), teamText(team, 6))
+	}
+	known, err := replicate.Advance(model.Cut{}, tree.Cut(tree.Revision()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	acceptor := accept.New(document.Decode)
+	if c := acceptor.Accept(known); len(c.Held) > 0 || len(c.Tree.Services) != benchServices {
+		b.Fatalf("%d held, %d services, first %v", len(c.Held), len(c.Tree.Services), c.Held[0])
+	}
+	versions := [2]*model.Subtree{}
+	for i := range versions {
+		versions[i] = document.NewSubtree("teams/t7", 1, []byte(teamText(7, 7+i)), false)
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		next := *versions[n%2]
+		next.Revision = known.Revision + 1
+		subtrees := maps.Clone(known.Subtrees)
+		subtrees[next.Key] = &next
+		known = model.Cut{Revision: next.Revision, Subtrees: subtrees}
+		acceptor.Accept(known)
+	}
+}
--- /dev/null
+++ b/internal/decision/accept/check.go
@@ -0,0 +1,128 @@
+package accept
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/galenalever/galenalever/internal/findings"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// violation is a fault of the composition. A change of any of the blamed
+// subtrees can have caused it and can mend it.
+type violation struct {
+	blamed  []model.Key
+	finding findings.Finding
+}
+
+// violations returns the faults of the composition, in order of their keys.
+func (x *index) violations() []violation {
+	for key := range x.dirty {
+		delete(x.open, key)
+		if p := x.parts[key]; p != nil {
+			if found := x.check(key, p); len(found) > 0 {
+				x.open[key] = found
+			}
+		}
+	}
+	clear(x.dirty)
+	var out []violation
+	for _, key := range slices.Sorted(maps.Keys(x.open)) {
+		out = append(out, x.open[key]...)
+	}
+	return out
+}
+
+func (x *index) check(key model.Key, p *part) []violation {
+	place := findings.Place{Source: string(key)}
+	if p.fault != nil {
+		return []violation{newViolation(place, []model.Key{key}, "cannot be decoded: %v", p.fault)}
+	}
+	team, ok := key.Team()
+	if !ok {
+		return nil
+	}
+	grant := x.grants[team]
+	if grant == nil {
+		return []violation{newViolation(place, []model.Key{key, model.RootKey}, "the root document grants team %q nothing", team)}
+	}
+	var out []violation
+	for i, route := range p.declarations.Routes {
+		out = append(out, x.checkService(key, route)...)
+		out = append(out, checkGrant(key, route, grant)...)
+		out = append(out, x.checkClaims(key, route, x.routes[key][i])...)
+	}
+	return out
+}
+
+func newViolation(place findings.Place, blamed []model.Key, format string, args ...any) violation {
+	return violation{blamed: blamed, finding: findings.Finding{Place: place, Message: fmt.Sprintf(format, args...)}}
+}
+
+func routePlace(key model.Key, route *model.Route, field string) findings.Place {
+	return findings.Place{Source: string(key), Path: "routes." + route.Name + field}
+}
+
+// checkService finds a route whose service is not declared.
+func (x *index) checkService(key model.Key, route *model.Route) []violation {
+	if _, ok := x.services[route.Service]; ok {
+		return nil
+	}
+	owner := model.TeamKey(route.Service.Team())
+	return []violation{newViolation(routePlace(key, route, ".service"), []model.Key{key, owner},
+		"service %q is not declared", route.Service)}
+}
+
+// checkGrant finds claims outside the team's grant.
+func checkGrant(key model.Key, route *model.Route, grant *model.Grant) []violation {
+	blamed := []model.Key{key, model.RootKey}
+	var out []violation
+	for _, host := range route.Hosts {
+		if !slices.Contains(grant.Hosts, host) {
+			out = append(out, newViolation(routePlace(key, route, ".hosts"), blamed,
+				"host %q is not granted to team %q", host, grant.Team))
+		}
+	}
+	within := func(prefix string) bool { return isWithin(route.PathPrefix, prefix) }
+	if !slices.ContainsFunc(grant.PathPrefixes, within) {
+		out = append(out, newViolation(routePlace(key, route, ".path"), blamed,
+			"path %q is not granted to team %q", route.PathPrefix, grant.Team))
+	}
+	return out
+}
+
+// isWithin reports whether path is prefix or lies beneath it, by whole segments.
+func isWithin(path, prefix string) bool {
+	prefix = strings.TrimSuffix(prefix, "/")
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (rest == "" || rest[0] == '/')
+}
+
+// checkClaims finds routes of other teams that match the same requests. The
+// resolved route has its hosts spelled out.
+func (x *index) checkClaims(key model.Key, route, resolved *model.Route) []violation {
+	var out []violation
+	methods := methodsOf(route)
+	for _, host := range resolved.Hosts {
+		for _, other := range x.claims[claim{host, route.PathPrefix}] {
+			if other.key == key || other.methods&methods == 0 {
+				continue
+			}
+			out = append(out, newViolation(routePlace(key, route, ""), conflictBlame(key, route, other),
+				"claims %s%s like route %q of %s", host, route.PathPrefix, other.route.Name, other.key))
+		}
+	}
+	return out
+}
+
+// conflictBlame names the root too if the claim of either route follows from
+// its grant.
+func conflictBlame(key model.Key, route *model.Route, other claimant) []model.Key {
+	blamed := []model.Key{key, other.key}
+	if len(route.Hosts) == 0 || len(other.route.Hosts) == 0 {
+		blamed = append(blamed, model.RootKey)
+	}
+	return blamed
+}
--- /dev/null
+++ b/internal/standin/history/history.go
@@ -0,0 +1,52 @@
+// Package history keeps every state of a published settings tree. Tests read
+// from it the cut at any revision, as a platform that is up to date or stale
+// would show it.
+package history
+
+import (
+	"github.com/galenalever/galenalever/internal/document"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// History is a sequence of published changes. The zero value is an empty tree
+// at revision 0. It is not safe for concurrent use.
+type History struct {
+	changes []change
+}
+
+type change struct {
+	key     model.Key
+	text    string
+	removed bool
+}
+
+// Publish stores a new text of a document and returns its revision.
+func (h *History) Publish(key model.Key, text string) model.Revision {
+	h.changes = append(h.changes, change{key: key, text: text})
+	return h.Revision()
+}
+
+// Remove deletes a document and returns the revision of the deletion.
+func (h *History) Remove(key model.Key) model.Revision {
+	h.changes = append(h.changes, change{key: key, removed: true})
+	return h.Revision()
+}
+
+// Revision returns the revision of the newest change.
+func (h *History) Revision() model.Revision { return model.Revision(len(h.changes)) }
+
+// Cut returns a cut as a reader of the platform makes it: the present keys at
+// the revision, each as of its latest change.
+func (h *History) Cut(revision model.Revision) model.Cut {
+	cut := model.Cut{Revision: revision, Subtrees: map[model.Key]*model.Subtree{}}
+	latest := map[model.Key]int{}
+	for i, c := range h.changes[:revision] {
+		latest[c.key] = i
+	}
+	for key, i := range latest {
+		if c := h.changes[i]; !c.removed {
+			cut.Subtrees[key] = document.NewSubtree(key, model.Revision(i+1), []byte(c.text), false)
+		}
+	}
+	return cut
+}
