--- /dev/null
+++ b/internal/service/config/record.go
@@ -0,0 +1,70 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+// Bounds of the detail of one event.
+const (
+	maxListedKeys     = 8
+	maxListedFindings = 3
+)
+
+// record adds the differences of two configurations to the time line.
+func (s *Service) record(before, after *model.Configuration) {
+	if changes := changedRunning(before, after); len(changes) > 0 {
+		detail := fmt.Sprintf("revision %d: %s", after.Cut.Revision, list(changes, ", ", maxListedKeys))
+		s.timeline.Record(timeline.KindConfigurationApplied, detail)
+	}
+	for _, held := range after.Held {
+		if slices.ContainsFunc(before.Held, func(h model.Held) bool {
+			return h.Key == held.Key && h.Revision == held.Revision
+		}) {
+			continue
+		}
+		s.log.Warn("subtree held back", "key", held.Key, "revision", held.Revision, "findings", len(held.Findings))
+		s.timeline.Record(timeline.KindSubtreeHeld, describeHeld(held))
+	}
+}
+
+// changedRunning lists what started or stopped running, as key@revision.
+func changedRunning(before, after *model.Configuration) []string {
+	var out []string
+	for _, key := range slices.Sorted(maps.Keys(after.Running)) {
+		subtree, previous := after.Running[key], before.Running[key]
+		if previous != nil && previous.Revision == subtree.Revision {
+			continue
+		}
+		if subtree.Removed && (previous == nil || previous.Removed) {
+			continue
+		}
+		entry := fmt.Sprintf("%s@%d", key, subtree.Revision)
+		if subtree.Removed {
+			entry += " removed"
+		}
+		out = append(out, entry)
+	}
+	return out
+}
+
+func describeHeld(held model.Held) string {
+	lines := make([]string, len(held.Findings))
+	for i, f := range held.Findings {
+		lines[i] = f.String()
+	}
+	return fmt.Sprintf("%s@%d: %s", held.Key, held.Revision, list(lines, "; ", maxListedFindings))
+}
+
+// list joins the first items and counts the rest.
+func list(items []string, separator string, bound int) string {
+	if len(items) <= bound {
+		return strings.Join(items, separator)
+	}
+	return fmt.Sprintf("%s%sand %d more", strings.Join(items[:bound], separator), separator, len(items)-bound)
+}
