--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -10,6 +10,7 @@
 )
 
 type commands struct {
+	Config  configCommands   `cmd:"" help:"Work with settings trees."`
 	Version kong.VersionFlag `help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/ctl/tree.go
@@ -0,0 +1,127 @@
+package ctl
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/galenalever/galenalever/internal/decision/accept"
+	"github.com/galenalever/galenalever/internal/document"
+	"github.com/galenalever/galenalever/internal/findings"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// The layout of a directory that holds a settings tree.
+const (
+	rootFile      = "root.yaml"
+	teamsDir      = "teams"
+	fileExtension = ".yaml"
+)
+
+// fileTree is the settings tree in a directory.
+type fileTree struct {
+	dir       string
+	documents map[model.Key]fileDocument
+	// stray are the files that the layout has no place for.
+	stray findings.List
+}
+
+type fileDocument struct {
+	path string
+	text []byte
+}
+
+// readTree reads all documents of a directory.
+func readTree(dir string) (*fileTree, error) {
+	tree := &fileTree{dir: dir, documents: map[model.Key]fileDocument{}}
+	if err := tree.readFiles(dir, tree.rootKey); err != nil {
+		return nil, err
+	}
+	teams := filepath.Join(dir, teamsDir)
+	if _, err := os.Stat(teams); os.IsNotExist(err) {
+		return tree, nil
+	}
+	return tree, tree.readFiles(teams, teamKey)
+}
+
+// readFiles reads the files of one directory whose names stand for keys.
+func (t *fileTree) readFiles(dir string, keyOf func(name string) (model.Key, bool)) error {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return eris.Wrap(err, "reading the settings tree")
+	}
+	for _, entry := range entries {
+		path := filepath.Join(dir, entry.Name())
+		if entry.IsDir() || !isYAML(entry.Name()) {
+			continue
+		}
+		key, ok := keyOf(entry.Name())
+		if !ok {
+			t.stray.Addf(findings.Place{Source: path}, "file is neither %s nor %s/NAME%s", rootFile, teamsDir, fileExtension)
+			continue
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return eris.Wrap(err, "reading a document")
+		}
+		t.documents[key] = fileDocument{path: path, text: text}
+	}
+	return nil
+}
+
+func isYAML(name string) bool {
+	extension := filepath.Ext(name)
+	return extension == fileExtension || extension == ".yml"
+}
+
+func (t *fileTree) rootKey(name string) (model.Key, bool) {
+	return model.RootKey, name == rootFile
+}
+
+func teamKey(name string) (model.Key, bool) {
+	team, ok := strings.CutSuffix(name, fileExtension)
+	return model.TeamKey(model.TeamName(team)), ok
+}
+
+// check returns the findings of each document and, by the decision that nodes
+// take, those between documents. Without a valid root there are only the
+// former, as every team would seem to claim too much.
+func (t *fileTree) check() findings.List {
+	const revision = 1
+	cut := model.Cut{Revision: revision, Subtrees: map[model.Key]*model.Subtree{}}
+	for key, d := range t.documents {
+		cut.Subtrees[key] = document.NewSubtree(key, revision, d.text, false)
+	}
+	list := slices.Clone(t.stray)
+	root := cut.Subtrees[model.RootKey]
+	if root == nil {
+		list.Addf(findings.Place{Source: filepath.Join(t.dir, rootFile)}, "file is missing; claims are not checked")
+	}
+	checksClaims := root != nil && len(root.Rejected) == 0
+	for _, held := range accept.New(document.Decode).Accept(cut).Held {
+		if checksClaims || len(cut.Subtrees[held.Key].Rejected) > 0 {
+			list = append(list, held.Findings...)
+		}
+	}
+	for i := range list {
+		list[i].Place = t.locate(list[i].Place)
+	}
+	list.Sort()
+	return slices.Compact(list)
+}
+
+// locate names the file in place of the key, and finds line and column.
+func (t *fileTree) locate(place findings.Place) findings.Place {
+	d, ok := t.documents[model.Key(place.Source)]
+	if !ok {
+		return place
+	}
+	if place.Line == 0 {
+		return document.Locate(d.path, d.text, place.Path)
+	}
+	place.Source = d.path
+	return place
+}
