Add the operators' services and the stand-ins of the outside systems

Nothing could be observed or tried out: the node had no operator port, and there was no platform, backend server or link to run it against.

- status: the typed report of a node, shared by the operator service and tools.
- standin/platform: values and instances as bounded histories under separate revision counters, so that a stale copy is a revision and not a second store.
- standin/backend: slots, ledger, crash by reset, delayed health and load; the answer tells which request it belongs to, so a checker needs no state.
- standin/link: relay with delay, jitter, cuts and truncation.

go test -race -count=3 ./internal/service/... ./internal/standin/...: ok.

--- /dev/null
+++ b/internal/service/operator/operator.go
@@ -0,0 +1,153 @@
+// Package operator is the service with the operators' HTTP listener: status,
+// liveness and readiness, and the pages that other services add.
+package operator
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/status"
+)
+
+// The limits of the listener.
+const (
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 10 * time.Second
+	writeTimeout   = 60 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 16 << 10
+	maxRequests    = 32
+)
+
+// Config is the settings of the service.
+type Config struct {
+	Listener net.Listener
+	Self     model.Self
+	// Profiling adds the pages of net/http/pprof.
+	Profiling bool
+}
+
+// Service serves the operators' pages.
+type Service struct {
+	config  Config
+	router  *chi.Mux
+	server  *http.Server
+	clock   clock.Clock
+	loop    *kernel.Loop
+	log     *slog.Logger
+	started time.Time
+	// configuration is nil if the node has no config service.
+	configuration configurationSource
+
+	mu        sync.Mutex
+	sections  map[string]func() any
+	readiness map[string]func() error
+}
+
+// configurationSource is what the service uses of the config service.
+type configurationSource interface {
+	Configuration() *kernel.Snapshot[*model.Configuration]
+}
+
+// New returns the service; pages and sections may be added at once.
+func New(c Config) *Service {
+	s := &Service{
+		config:    c,
+		router:    chi.NewRouter(),
+		sections:  make(map[string]func() any),
+		readiness: make(map[string]func() error),
+	}
+	s.router.Use(middleware.Throttle(maxRequests), middleware.Recoverer)
+	s.router.Get(status.PathStatus, s.serveStatus)
+	s.router.Get(status.PathHealth, serveHealth)
+	s.router.Get(status.PathReady, s.serveReady)
+	if c.Profiling {
+		s.addProfiling()
+	}
+	return s
+}
+
+// Name implements kernel.Service.
+func (*Service) Name() string { return control.Operator }
+
+// Provision implements kernel.Provisioner.
+func (s *Service) Provision(c *kernel.Context) error {
+	s.clock, s.loop, s.log = c.Clock, c.Loop, c.Log
+	s.started = c.Clock.Now()
+	if source, err := kernel.Find[configurationSource](c, control.Config); err == nil {
+		s.configuration = source
+	}
+	return nil
+}
+
+// AddStatus adds a section to the status page. The function is called by
+// traffic goroutines, so it reads snapshots and atomic values only; its result
+// is encoded as JSON. Other services call it during Provision.
+func (s *Service) AddStatus(section string, f func() any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sections[section] = f
+}
+
+// AddReadiness adds a condition to the readiness page; an error means that the
+// node is not ready. Other services call it during Provision.
+func (s *Service) AddReadiness(name string, f func() error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readiness[name] = f
+}
+
+// Handle adds a page for GET requests. Other services call it during Provision.
+func (s *Service) Handle(pattern string, h http.Handler) {
+	s.router.Method(http.MethodGet, pattern, h)
+}
+
+// Start implements kernel.Starter.
+func (s *Service) Start(context.Context) error {
+	s.server = &http.Server{
+		Handler:           s.router,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
+	}
+	go s.run()
+	return nil
+}
+
+func (s *Service) run() {
+	if err := s.server.Serve(s.config.Listener); !errors.Is(err, http.ErrServerClosed) {
+		s.log.Error("operator listener failed", "error", err)
+	}
+}
+
+// Stop implements kernel.Stopper.
+func (s *Service) Stop(ctx context.Context) error {
+	if err := s.server.Shutdown(ctx); err != nil {
+		return s.server.Close()
+	}
+	return nil
+}
+
+func (s *Service) addProfiling() {
+	s.router.HandleFunc("/debug/pprof/*", pprof.Index)
+	s.router.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	s.router.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	s.router.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	s.router.HandleFunc("/debug/pprof/trace", pprof.Trace)
+}
--- /dev/null
+++ b/internal/service/operator/pages.go
@@ -0,0 +1,93 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/status"
+)
+
+func serveHealth(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }
+
+// serveReady answers 503 with all conditions that do not hold.
+func (s *Service) serveReady(w http.ResponseWriter, _ *http.Request) {
+	faults := s.unmetConditions()
+	if len(faults) == 0 {
+		_, _ = w.Write([]byte("ready\n"))
+		return
+	}
+	http.Error(w, strings.Join(faults, "\n"), http.StatusServiceUnavailable)
+}
+
+func (s *Service) unmetConditions() []string {
+	var faults []string
+	if s.configuration != nil {
+		if c := s.current(); c == nil || c.Tree == nil {
+			faults = append(faults, "config: no configuration is in force")
+		}
+	}
+	s.mu.Lock()
+	conditions := maps.Clone(s.readiness)
+	s.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(conditions)) {
+		if err := conditions[name](); err != nil {
+			faults = append(faults, fmt.Sprintf("%s: %v", name, err))
+		}
+	}
+	return faults
+}
+
+func (s *Service) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	body, err := json.Marshal(s.report())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body) // the client may be gone
+}
+
+func (s *Service) report() status.Report {
+	self := s.config.Self
+	return status.Report{
+		Instance:    self.ID,
+		Service:     self.Service,
+		Domain:      self.Domain,
+		Addresses:   self.Addresses,
+		Incarnation: self.Incarnation,
+		Uptime:      s.clock.Now().Sub(s.started),
+		Loop:        s.loop.Stats(),
+		Version:     status.NewVersion(s.current()),
+		Sections:    s.sectionBodies(),
+	}
+}
+
+// current returns the configuration, or nil if there is none.
+func (s *Service) current() *model.Configuration {
+	if s.configuration == nil {
+		return nil
+	}
+	return s.configuration.Configuration().Load()
+}
+
+// sectionBodies encodes the sections. One that fails is replaced by its error,
+// so that the others are still shown.
+func (s *Service) sectionBodies() map[string]json.RawMessage {
+	s.mu.Lock()
+	sections := maps.Clone(s.sections)
+	s.mu.Unlock()
+	bodies := make(map[string]json.RawMessage, len(sections))
+	for name, f := range sections {
+		body, err := json.Marshal(f())
+		if err != nil {
+			body, _ = json.Marshal(map[string]string{"error": err.Error()})
+		}
+		bodies[name] = body
+	}
+	return bodies
+}
--- /dev/null
+++ b/internal/service/timeline/timeline.go
@@ -0,0 +1,99 @@
+// Package timeline is the service that records the events of this process and
+// serves them to operators.
+package timeline
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/status"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+// capacity is the number of events that a process keeps.
+const capacity = 4096
+
+// Config is the settings of the service.
+type Config struct {
+	Instance model.InstanceID
+	Clock    clock.Clock
+}
+
+// Service records events. Its methods are safe for concurrent use.
+type Service struct {
+	clock *timeline.Clock
+	ring  *timeline.Ring
+}
+
+// pages is what the service uses of the operator service.
+type pages interface {
+	Handle(pattern string, h http.Handler)
+}
+
+// New returns the service; it records from then on.
+func New(c Config) *Service {
+	hybrid := timeline.NewClock(c.Clock)
+	return &Service{
+		clock: hybrid,
+		ring:  timeline.NewRing(hybrid, string(c.Instance), capacity),
+	}
+}
+
+// Name implements kernel.Service.
+func (*Service) Name() string { return control.Timeline }
+
+// Provision implements kernel.Provisioner.
+func (s *Service) Provision(c *kernel.Context) error {
+	operator, err := kernel.Find[pages](c, control.Operator)
+	if err != nil {
+		return err
+	}
+	operator.Handle(status.PathTimeline, http.HandlerFunc(s.serve))
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (s *Service) Start(context.Context) error {
+	s.Record(timeline.KindProcessStarted, "")
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (s *Service) Stop(context.Context) error {
+	s.Record(timeline.KindProcessStopped, "")
+	return nil
+}
+
+// Record adds an event with the current time.
+func (s *Service) Record(kind timeline.Kind, detail string) { s.ring.Record(kind, detail) }
+
+// Clock returns the clock whose timestamps travel with messages.
+func (s *Service) Clock() *timeline.Clock { return s.clock }
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	after, err := parseAfter(r.URL.Query().Get("after"))
+	if err != nil {
+		http.Error(w, "after is not a timestamp: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	events := s.ring.After(after)
+	if events == nil {
+		events = []timeline.Event{}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(events) // the client may be gone
+}
+
+func parseAfter(text string) (timeline.Timestamp, error) {
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	return timeline.Timestamp(n), err
+}
--- /dev/null
+++ b/internal/standin/backend/backend_test.go
@@ -0,0 +1,121 @@
+package backend_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/standin/backend"
+)
+
+func start(t *testing.T, c backend.Config) *backend.Server {
+	t.Helper()
+	s, err := backend.Start(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+// send runs one request and returns its status and body.
+func send(ctx context.Context, s *backend.Server, target, id, body string, headers ...string) (int, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL()+target, strings.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	request.Header.Set(backend.HeaderLedgerID, id)
+	for _, h := range headers {
+		request.Header.Set(h, "yes")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return response.StatusCode, content, err
+}
+
+func TestAnswerIsCheckable(t *testing.T) {
+	s := start(t, backend.Config{Name: "k1"})
+	_, body, err := send(t.Context(), s, "/book?size=1000", "r1", "two units")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := backend.Expected{LedgerID: "r1", Method: "POST", Path: "/book", Body: []byte("two units"), Size: 1000}
+	if err := backend.Check(body, want); err != nil {
+		t.Error(err)
+	}
+	if backend.Check(body[:len(body)-1], want) == nil {
+		t.Error("a truncated answer passed the check")
+	}
+	want.LedgerID = "r2"
+	if backend.Check(body, want) == nil {
+		t.Error("another request's answer passed the check")
+	}
+	if n := s.Ledger().Count("r1"); n != 1 {
+		t.Errorf("executions = %d, want 1", n)
+	}
+}
+
+func TestShedRequestDoesNotRun(t *testing.T) {
+	s := start(t, backend.Config{Slots: 1})
+	body, hold := io.Pipe()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL()+"/upload", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Expect", "100-continue")
+	done := make(chan error, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			response.Body.Close()
+		}
+		done <- err
+	}()
+	if _, err := hold.Write([]byte("x")); err != nil { // the server asked for the body, so it has the slot
+		t.Fatal(err)
+	}
+	status, _, err := send(t.Context(), s, "/book", "r1", "")
+	if err != nil || status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, error %v, want 503", status, err)
+	}
+	if n := s.Ledger().Count("r1"); n != 0 {
+		t.Errorf("executions = %d, want 0", n)
+	}
+	hold.Close()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCrashLosesTheAnswerAndRestarts(t *testing.T) {
+	s := start(t, backend.Config{})
+	_, _, err := send(t.Context(), s, "/book", "r1", "", backend.HeaderCrash)
+	if err == nil {
+		t.Fatal("a crashed server answered")
+	}
+	if s.Crashes() != 1 || s.Ledger().Count("r1") != 1 {
+		t.Errorf("crashes = %d, executions = %d, want 1 and 1", s.Crashes(), s.Ledger().Count("r1"))
+	}
+}
+
+func TestCancelledRequestEnds(t *testing.T) {
+	s := start(t, backend.Config{Slots: 1})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	if _, _, err := send(ctx, s, "/book?run=1h", "r1", ""); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("error = %v, want a deadline", err)
+	}
+	drainCtx, cancelDrain := context.WithTimeout(t.Context(), time.Minute)
+	defer cancelDrain()
+	if err := s.Drain(drainCtx); err != nil { // ends only if the run was cancelled
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/standin/backend/crash.go
@@ -0,0 +1,60 @@
+package backend
+
+import (
+	"net"
+	"time"
+)
+
+// listenRetryDelay is the time between two attempts to listen after a crash.
+const listenRetryDelay = 10 * time.Millisecond
+
+// Crash closes all connections without answers and refuses new ones for the
+// restart time.
+func (s *Server) Crash() {
+	if s.config.OnCrash != nil {
+		s.config.OnCrash()
+		return
+	}
+	s.mu.Lock()
+	if s.closed || s.down {
+		s.mu.Unlock()
+		return
+	}
+	s.down = true
+	s.crashes++
+	server := s.http
+	s.abortConnections()
+	s.restarts.Add(1)
+	s.mu.Unlock()
+	s.healthy.set(false)
+	_ = server.Close() // the connections are lost on purpose
+	time.AfterFunc(s.config.RestartTime, s.restart)
+}
+
+// abortConnections makes the close of every connection a reset. The caller
+// holds the lock.
+func (s *Server) abortConnections() {
+	for c := range s.connections {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+}
+
+// restart listens on the same address again, later if it is still taken.
+func (s *Server) restart() {
+	s.mu.Lock()
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		s.restarts.Done()
+		return
+	}
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		time.AfterFunc(listenRetryDelay, s.restart)
+		return
+	}
+	s.serve(listener)
+	s.restarts.Done()
+}
--- /dev/null
+++ b/internal/standin/backend/ledger.go
@@ -0,0 +1,39 @@
+package backend
+
+import (
+	"maps"
+	"sync"
+)
+
+// Ledger counts the executions of each request that carries a ledger ID.
+type Ledger struct {
+	mu         sync.Mutex
+	executions map[string]int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{executions: make(map[string]int)} }
+
+// record counts one execution.
+func (l *Ledger) record(id string) {
+	if id == "" {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.executions[id]++
+}
+
+// Count returns how often a request ran.
+func (l *Ledger) Count(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.executions[id]
+}
+
+// Executions returns a copy of all counts.
+func (l *Ledger) Executions() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.executions)
+}
--- /dev/null
+++ b/internal/standin/link/link_test.go
@@ -0,0 +1,93 @@
+package link_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/standin/link"
+)
+
+// startEcho serves connections that repeat what they receive.
+func startEcho(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func startLink(t *testing.T, s link.State) (*link.Link, net.Conn) {
+	t.Helper()
+	l, err := link.Start(link.Config{Target: startEcho(t), State: s, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	c, err := net.Dial("tcp", l.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return l, c
+}
+
+// echo sends data, ends the stream and returns what came back.
+func echo(t *testing.T, c net.Conn, data []byte) []byte {
+	t.Helper()
+	go func() {
+		_, _ = c.Write(data)
+		_ = c.(*net.TCPConn).CloseWrite()
+	}()
+	got, _ := io.ReadAll(c) // a truncated stream may end in a reset
+	return got
+}
+
+func TestRelayKeepsBytesInOrder(t *testing.T) {
+	_, c := startLink(t, link.State{Delay: time.Millisecond, Jitter: time.Millisecond})
+	data := bytes.Repeat([]byte("0123456789"), 100_000)
+	if got := echo(t, c, data); !bytes.Equal(got, data) {
+		t.Errorf("got %d bytes, want %d in order", len(got), len(data))
+	}
+}
+
+func TestTruncation(t *testing.T) {
+	_, c := startLink(t, link.State{TruncateAfter: 1000})
+	if got := echo(t, c, make([]byte, 5000)); len(got) > 1000 {
+		t.Errorf("got %d bytes, want at most 1000", len(got))
+	}
+}
+
+func TestCutHoldsBytesBackUntilItEnds(t *testing.T) {
+	for _, cut := range []link.State{{CutForward: true}, {CutBack: true}} {
+		l, c := startLink(t, cut)
+		if _, err := c.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		if n, _ := c.Read(make([]byte, 1)); n != 0 {
+			t.Errorf("%+v: a byte passed", cut)
+		}
+		l.SetState(link.State{})
+		_ = c.SetReadDeadline(time.Time{})
+		if n, err := c.Read(make([]byte, 1)); n != 1 {
+			t.Errorf("%+v: no byte after the cut: %v", cut, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/limiter.go
@@ -0,0 +1,36 @@
+package platform
+
+import "time"
+
+// Counters tells how often the platform was called.
+type Counters struct {
+	// Calls counts all calls, refused ones included.
+	Calls uint64 `json:"calls"`
+	// Refused counts the calls over the limit.
+	Refused uint64 `json:"refused"`
+	// HighestPerSecond is the greatest number of calls in one second.
+	HighestPerSecond int `json:"highest_per_second"`
+}
+
+// limiter counts calls against a limit for each second of the clock.
+type limiter struct {
+	limit    int
+	second   int64
+	calls    int
+	counters Counters
+}
+
+// allow counts a call and reports whether it is within the limit.
+func (l *limiter) allow(now time.Time) bool {
+	if second := now.Unix(); second != l.second {
+		l.second, l.calls = second, 0
+	}
+	l.calls++
+	l.counters.Calls++
+	l.counters.HighestPerSecond = max(l.counters.HighestPerSecond, l.calls)
+	if l.calls > l.limit {
+		l.counters.Refused++
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,200 @@
+// Package platform is a stand-in for the platform's configuration service and
+// its list of instances. Nodes read and watch it; a publishing side plays the
+// operators. It counts every call against a limit, and it can be down or
+// answer from an old copy.
+package platform
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/galenalever/galenalever/internal/clock"
+)
+
+// MaxValueBytes is the largest value that the platform holds.
+const MaxValueBytes = 1 << 20
+
+// DefaultLimit is the number of calls a second that the platform serves.
+const DefaultLimit = 2000
+
+// ErrTooLarge rejects a value greater than MaxValueBytes.
+var ErrTooLarge = eris.New("value is larger than 1 MiB")
+
+// The states of a listed instance.
+const (
+	StateLive    = "live"
+	StateLeaving = "leaving"
+	StateRemoved = "removed"
+)
+
+// Instance is one entry of the list of instances.
+type Instance struct {
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Domain   string `json:"domain"`
+	Traffic  string `json:"traffic"`
+	Control  string `json:"control"`
+	Operator string `json:"operator"`
+	State    string `json:"state"`
+	Revision uint64 `json:"revision"`
+}
+
+// Outage selects how an unavailable platform refuses calls.
+type Outage string
+
+// The kinds of outage.
+const (
+	OutageNone   Outage = ""
+	OutageError  Outage = "error"  // every call is answered 503
+	OutageClosed Outage = "closed" // every connection is closed without an answer
+)
+
+// Mode is the present behaviour of the stand-in.
+type Mode struct {
+	Outage Outage `json:"outage"`
+	// Stale answers from the copy that was current when it was switched on.
+	Stale bool `json:"stale"`
+	// InstanceLag delays each change of the list of instances.
+	InstanceLag time.Duration `json:"instance_lag_ns"`
+}
+
+// Config is the settings of the stand-in. Zero values select defaults.
+type Config struct {
+	// Limit is the number of calls served in one second.
+	Limit int
+	Clock clock.Clock
+}
+
+// Platform holds values and instances. It is safe for concurrent use.
+type Platform struct {
+	clock clock.Clock
+
+	mu        sync.Mutex
+	values    history[[]byte]
+	instances history[Instance]
+	mode      Mode
+	// staleValues and staleInstances are the revisions of the old copy.
+	staleValues, staleInstances uint64
+	// changed is closed at the next change of any kind.
+	changed chan struct{}
+	limiter limiter
+}
+
+// New returns an empty platform.
+func New(c Config) *Platform {
+	if c.Limit == 0 {
+		c.Limit = DefaultLimit
+	}
+	if c.Clock == nil {
+		c.Clock = clock.System{}
+	}
+	return &Platform{
+		clock:     c.Clock,
+		values:    newHistory[[]byte](),
+		instances: newHistory[Instance](),
+		changed:   make(chan struct{}),
+		limiter:   limiter{limit: c.Limit},
+	}
+}
+
+// Put publishes a value and returns its revision.
+func (p *Platform) Put(key string, value []byte) (uint64, error) {
+	if len(value) > MaxValueBytes {
+		return 0, ErrTooLarge
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer p.notify()
+	return p.values.put(key, value, false), nil
+}
+
+// Delete removes a value and returns the revision of the removal.
+func (p *Platform) Delete(key string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer p.notify()
+	return p.values.put(key, nil, true)
+}
+
+// PutInstance lists an instance, after the lag of the list.
+func (p *Platform) PutInstance(i Instance) {
+	if i.State == "" {
+		i.State = StateLive
+	}
+	p.later(func() { p.instances.put(i.ID, i, false) })
+}
+
+// RemoveInstance marks an instance as removed, after the lag of the list.
+func (p *Platform) RemoveInstance(id string) {
+	p.later(func() {
+		last, _ := p.instances.at(id, p.instances.revision)
+		last.value.ID = id
+		last.value.State = StateRemoved
+		p.instances.put(id, last.value, true)
+	})
+}
+
+// later applies a change of the list of instances once the lag is over.
+func (p *Platform) later(apply func()) {
+	locked := func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		defer p.notify()
+		apply()
+	}
+	if lag := p.Mode().InstanceLag; lag > 0 {
+		p.clock.AfterFunc(lag, locked)
+		return
+	}
+	locked()
+}
+
+// Mode returns the present behaviour.
+func (p *Platform) Mode() Mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+// SetMode changes the behaviour. Waiting watches end.
+func (p *Platform) SetMode(m Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer p.notify()
+	if m.Stale && !p.mode.Stale {
+		p.staleValues, p.staleInstances = p.values.revision, p.instances.revision
+	}
+	p.mode = m
+}
+
+// SetStaleAt answers from the copy that was current at a revision of the
+// values.
+func (p *Platform) SetStaleAt(revision uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer p.notify()
+	p.mode.Stale = true
+	p.staleValues, p.staleInstances = revision, p.instances.revision
+}
+
+// Revision returns the revision of the newest value.
+func (p *Platform) Revision() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.values.revision
+}
+
+// Counters returns what was called so far.
+func (p *Platform) Counters() Counters {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limiter.counters
+}
+
+// notify wakes the watches. The caller holds the lock.
+func (p *Platform) notify() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/status/status.go
@@ -0,0 +1,60 @@
+// Package status holds the typed report that a node serves on its operator port
+// and that the tools read.
+package status
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// The paths of the operator port.
+const (
+	PathStatus   = "/status"
+	PathTimeline = "/timeline"
+	PathMetrics  = "/metrics"
+	PathHealth   = "/healthz"
+	PathReady    = "/readyz"
+)
+
+// Report is the answer to PathStatus.
+type Report struct {
+	Instance    model.InstanceID    `json:"instance"`
+	Service     model.ServiceName   `json:"service"`
+	Domain      model.FailureDomain `json:"domain"`
+	Addresses   model.Addresses     `json:"addresses"`
+	Incarnation model.Incarnation   `json:"incarnation"`
+	Uptime      time.Duration       `json:"uptime_ns"`
+	Loop        kernel.LoopStats    `json:"loop"`
+	Version     Version             `json:"version"`
+	// Sections are added by the services of the node, under their names.
+	Sections map[string]json.RawMessage `json:"sections"`
+}
+
+// Version tells which configuration a node knows and runs.
+type Version struct {
+	// Cut is the revision of the newest state known; 0 means none.
+	Cut model.Revision `json:"cut"`
+	// Running holds the revision of the accepted subtree of each key.
+	Running map[model.Key]model.Revision `json:"running"`
+	// Held lists the subtrees that are known but not in force.
+	Held []model.Held `json:"held"`
+}
+
+// NewVersion summarises a configuration, which may be nil.
+func NewVersion(c *model.Configuration) Version {
+	v := Version{Running: make(map[model.Key]model.Revision), Held: []model.Held{}}
+	if c == nil {
+		return v
+	}
+	v.Cut = c.Cut.Revision
+	v.Held = append(v.Held, c.Held...)
+	for key, subtree := range c.Running {
+		if !subtree.Removed {
+			v.Running[key] = subtree.Revision
+		}
+	}
+	return v
+}
