Add galenactl status and timeline, and the mesh of real processes

The operators' port could only be read by hand, and there was no way to run a deployment.

- status.Client and the section accessors; ctl asks up to 32 nodes at a time, prints what answered, lists what did not and then exits with 1.
- timeline.Sort and Event.Format order the events of several processes.
- standin/mesh starts platform, servers, links and node processes; links stand in front of every node, as loopback hides the failure domain of the caller, so the delay also applies inside a domain.
- standin/load sends at a rate that does not depend on answers and checks each request against the ledger.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -10,7 +10,9 @@
 )
 
 type commands struct {
-	Version kong.VersionFlag `help:"Print the version."`
+	Version  kong.VersionFlag `help:"Print the version."`
+	Status   statusCommand    `cmd:"" help:"Show what each node knows and runs."`
+	Timeline timelineCommand  `cmd:"" help:"Merge the events of all nodes in order."`
 }
 
 // Main runs one command and returns the exit code.
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,62 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/status"
+)
+
+type statusCommand struct {
+	nodeFlags
+	JSON bool `help:"Print the whole reports as JSON." name:"json"`
+}
+
+// Run implements the command.
+func (c *statusCommand) Run(w io.Writer) error {
+	ctx := context.Background()
+	client := status.NewClient(c.Timeout)
+	replies := c.reports(ctx, client, c.addresses(ctx, client))
+	reports := answered(replies)
+	slices.SortFunc(reports, func(a, b status.Report) int { return cmp.Compare(a.Instance, b.Instance) })
+	if c.JSON {
+		return cmp.Or(printJSON(w, reports), printFailures(io.Discard, replies))
+	}
+	return cmp.Or(printReports(w, reports), printFailures(w, replies))
+}
+
+// answered returns the values of the nodes that answered.
+func answered[T any](replies []reply[T]) []T {
+	values := []T{}
+	for _, r := range replies {
+		if r.err == nil {
+			values = append(values, r.value)
+		}
+	}
+	return values
+}
+
+func printJSON(w io.Writer, v any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
+
+func printReports(w io.Writer, reports []status.Report) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "INSTANCE\tSERVICE\tDOMAIN\tUPTIME\tCUT\tPRESENCE\tUPSTREAM\tCONTROL BYTES\tHELD")
+	for _, r := range reports {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\n",
+			r.Instance, r.Service, r.Domain, r.Uptime.Round(time.Second), r.Version.Cut,
+			orDash(r.Presence()), orDash(r.Upstream()), orDash(r.ControlBytes()), orDash(r.Version.HeldText()))
+	}
+	return table.Flush()
+}
+
+func orDash(text string) string { return cmp.Or(text, "-") }
--- /dev/null
+++ b/internal/standin/mesh/deployment.go
@@ -0,0 +1,73 @@
+// Package mesh runs a whole deployment on loopback: the platform stand-in, one
+// backend server stand-in and one real node process for each instance, and
+// links in front of the nodes.
+package mesh
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Deployment describes the instances of one mesh.
+type Deployment struct {
+	Name     string
+	Domains  []string
+	Services []Service
+	// LinkDelay is the one-way delay between nodes.
+	LinkDelay time.Duration
+}
+
+// Service is one service and the number of its instances.
+type Service struct {
+	// Name has the form team/service.
+	Name    string
+	Workers int
+}
+
+// Instance is one instance of a deployment.
+type Instance struct{ ID, Service, Domain string }
+
+// Java returns the deployment of the Javanese association.
+func Java() Deployment {
+	return Deployment{
+		Name:    "java",
+		Domains: []string{"jkt", "smg", "sby"},
+		Services: []Service{
+			{Name: "katalog/katalog", Workers: 6},
+			{Name: "pemesanan/pemesanan", Workers: 5},
+			{Name: "berkas/berkas", Workers: 3},
+		},
+		LinkDelay: 4 * time.Millisecond,
+	}
+}
+
+// Egypt returns the deployment of the Egyptian holding.
+func Egypt() Deployment {
+	return Deployment{
+		Name:    "egypt",
+		Domains: []string{"cairo-a", "cairo-b", "giza", "alex"},
+		Services: []Service{
+			{Name: "catalogue/catalogue", Workers: 6},
+			{Name: "bidding/bidding", Workers: 4},
+			{Name: "inspection/inspection", Workers: 4},
+		},
+		LinkDelay: 3 * time.Millisecond,
+	}
+}
+
+// Instances returns all instances, spread over the failure domains in turn.
+func (d Deployment) Instances() []Instance {
+	var all []Instance
+	for _, s := range d.Services {
+		_, short, _ := strings.Cut(s.Name, "/")
+		for i := range s.Workers {
+			all = append(all, Instance{
+				ID:      fmt.Sprintf("%s-%d", short, i+1),
+				Service: s.Name,
+				Domain:  d.Domains[len(all)%len(d.Domains)],
+			})
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/standin/mesh/node.go
@@ -0,0 +1,156 @@
+package mesh
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/standin/backend"
+	"github.com/galenalever/galenalever/internal/standin/link"
+	"github.com/galenalever/galenalever/internal/standin/platform"
+)
+
+// Node is one instance: its backend server, the links in front of its node and
+// the node's process. It is safe for concurrent use.
+type Node struct {
+	Instance
+	// Backend is the server beside the node.
+	Backend *backend.Server
+	// Traffic and Control are the links through which others reach the node.
+	Traffic, Control *link.Link
+
+	mesh *Mesh
+
+	mu        sync.Mutex
+	process   *process
+	addresses Addresses
+	paused    bool
+}
+
+// Start runs the node's process and lists the instance on the platform.
+func (n *Node) Start(ctx context.Context) error {
+	p, addresses, err := startProcess(ctx, n.mesh.config.Program, n.arguments(), n.mesh.config.Environment)
+	if err != nil {
+		return err
+	}
+	n.Traffic.SetTarget(addresses.Traffic)
+	n.Control.SetTarget(addresses.Control)
+	n.mu.Lock()
+	n.process, n.addresses, n.paused = p, addresses, false
+	n.mu.Unlock()
+	n.mesh.Platform.PutInstance(n.listing(platform.StateLive))
+	return nil
+}
+
+// arguments returns the settings of the node's process.
+func (n *Node) arguments() []string {
+	args := []string{
+		"--instance", n.ID,
+		"--service", n.Service,
+		"--domain", n.Domain,
+		"--backend", n.Backend.URL(),
+		"--platform", n.mesh.PlatformURL(),
+		"--advertise-traffic", n.Traffic.Address(),
+		"--advertise-control", n.Control.Address(),
+		"--log-format", "json",
+	}
+	if peers := n.mesh.peersOf(n); len(peers) > 0 {
+		args = append(args, "--peer", strings.Join(peers, ","))
+	}
+	return append(args, n.mesh.config.Arguments...)
+}
+
+func (n *Node) listing(state string) platform.Instance {
+	return platform.Instance{
+		ID:       n.ID,
+		Service:  n.Service,
+		Domain:   n.Domain,
+		Traffic:  n.Traffic.Address(),
+		Control:  n.Control.Address(),
+		Operator: n.Addresses().Operator,
+		State:    state,
+	}
+}
+
+// Addresses returns the listeners of the present process.
+func (n *Node) Addresses() Addresses {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.addresses
+}
+
+// Running reports whether the process runs and is not paused.
+func (n *Node) Running() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.process != nil && !n.paused
+}
+
+// Kill ends the process at once.
+func (n *Node) Kill() {
+	if p := n.detach(); p != nil {
+		p.kill()
+	}
+}
+
+// Terminate drains and ends the process; the platform lists the instance as
+// leaving.
+func (n *Node) Terminate(limit time.Duration) error {
+	p := n.detach()
+	if p == nil {
+		return nil
+	}
+	n.mesh.Platform.PutInstance(n.listing(platform.StateLeaving))
+	return p.terminate(limit)
+}
+
+// Pause stops the process without its knowledge.
+func (n *Node) Pause() { n.setPaused(true, syscall.SIGSTOP) }
+
+// Resume continues a paused process.
+func (n *Node) Resume() { n.setPaused(false, syscall.SIGCONT) }
+
+func (n *Node) setPaused(paused bool, s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != nil {
+		n.paused = paused
+		n.process.signal(s)
+	}
+}
+
+// Log returns the last log lines of the present process.
+func (n *Node) Log() []string {
+	n.mu.Lock()
+	p := n.process
+	n.mu.Unlock()
+	if p == nil {
+		return nil
+	}
+	return p.log()
+}
+
+// detach returns the present process, if any, and forgets it.
+func (n *Node) detach() *process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.process
+	n.process = nil
+	return p
+}
+
+// close ends the process, the links and the server.
+func (n *Node) close(limit time.Duration) error {
+	p := n.detach()
+	var err error
+	if p != nil {
+		err = p.terminate(limit)
+	}
+	for _, l := range []*link.Link{n.Traffic, n.Control} {
+		_ = l.Close() // nothing uses the links any more
+	}
+	_ = n.Backend.Close() // nothing calls the server any more
+	return err
+}
--- /dev/null
+++ b/internal/timeline/merge.go
@@ -0,0 +1,27 @@
+package timeline
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// At returns the first timestamp of a physical time.
+func At(t time.Time) Timestamp { return Timestamp(t.UnixMilli()) << counterBits }
+
+// Sort orders the events of several processes by time, those of equal time by
+// process.
+func Sort(events []Event) {
+	slices.SortStableFunc(events, func(a, b Event) int {
+		return cmp.Or(cmp.Compare(a.Time, b.Time), strings.Compare(a.Node, b.Node))
+	})
+}
+
+// Format returns the event as one line with the node padded to a width.
+func (e Event) Format(nodeWidth int) string {
+	at := time.UnixMilli(e.Time.Milliseconds()).UTC().Format("15:04:05.000")
+	line := fmt.Sprintf("%s.%02d  %-*s  %-24s  %s", at, e.Time.Counter(), nodeWidth, e.Node, e.Kind, e.Detail)
+	return strings.TrimRight(line, " ")
+}
