--- /dev/null
+++ b/internal/decision/members/builder.go
@@ -0,0 +1,170 @@
+package members
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// With returns a view that has taken in the received records, and the records
+// that differ from v. It returns v itself when nothing changed.
+func (v *View) With(received ...model.Member) (*View, []model.Member) {
+	b := builder{old: v}
+	var changed []model.Member
+	for _, m := range received {
+		if merged, ok := b.merge(m); ok {
+			changed = append(changed, merged)
+		}
+	}
+	if b.next == nil {
+		return v, nil
+	}
+	return b.next, changed
+}
+
+// Without returns a view that has forgotten the given departed instances.
+func (v *View) Without(ids ...model.InstanceID) *View {
+	b := builder{old: v}
+	for _, id := range ids {
+		if m, ok := v.Get(id); ok && Departed(m) {
+			b.forget(id)
+		}
+	}
+	if b.next == nil {
+		return v
+	}
+	return b.next
+}
+
+// builder makes the next view. It copies each shard at most once, however many
+// records change.
+type builder struct {
+	old  *View
+	next *View
+	// ownedBuckets, ownedServices and ownedDomains tell which shards are
+	// copies of this builder.
+	ownedBuckets  [Buckets]bool
+	ownedServices map[model.ServiceName]bool
+	ownedShards   [serviceShards]bool
+	ownedDomains  map[model.FailureDomain]bool
+}
+
+func (b *builder) view() *View {
+	if b.next == nil {
+		return b.old
+	}
+	return b.next
+}
+
+func (b *builder) begin() {
+	if b.next != nil {
+		return
+	}
+	next := *b.old
+	next.domains = slices.Clone(b.old.domains)
+	b.next = &next
+	b.ownedServices = make(map[model.ServiceName]bool)
+	b.ownedDomains = make(map[model.FailureDomain]bool)
+}
+
+func (b *builder) merge(received model.Member) (model.Member, bool) {
+	hash := Hash(received.ID)
+	known := b.lookup(hash, received.ID)
+	merged := received
+	if known != nil {
+		var changed bool
+		if merged, changed = Merge(known.member, received); !changed {
+			return model.Member{}, false
+		}
+	}
+	b.begin()
+	b.next.position++
+	e := &entry{hash: hash, position: b.next.position, member: merged}
+	if known != nil {
+		b.unlink(known)
+	}
+	b.link(e)
+	return merged, true
+}
+
+func (b *builder) lookup(hash uint64, id model.InstanceID) *entry {
+	entries := b.view().buckets[bucketOf(hash)].entries
+	i, ok := find(entries, hash, id)
+	if !ok {
+		return nil
+	}
+	return entries[i]
+}
+
+func (b *builder) forget(id model.InstanceID) {
+	known := b.lookup(Hash(id), id)
+	b.begin()
+	b.unlink(known)
+}
+
+func (b *builder) link(e *entry) {
+	bucket := b.bucket(bucketOf(e.hash))
+	bucket.entries = put(bucket.entries, e)
+	bucket.digest ^= entryDigest(e)
+	bucket.position = max(bucket.position, e.position)
+	service := b.service(e.member.Service)
+	service.entries = put(service.entries, e)
+	domain := b.domain(e.member.Domain)
+	domain.entries = put(domain.entries, e)
+	b.next.count++
+}
+
+func (b *builder) unlink(e *entry) {
+	bucket := b.bucket(bucketOf(e.hash))
+	bucket.entries = remove(bucket.entries, e)
+	bucket.digest ^= entryDigest(e)
+	service := b.service(e.member.Service)
+	service.entries = remove(service.entries, e)
+	domain := b.domain(e.member.Domain)
+	domain.entries = remove(domain.entries, e)
+	b.next.count--
+}
+
+func (b *builder) bucket(i int) *bucket {
+	if !b.ownedBuckets[i] {
+		copied := *b.next.buckets[i]
+		copied.entries = slices.Clone(copied.entries)
+		b.next.buckets[i] = &copied
+		b.ownedBuckets[i] = true
+	}
+	return b.next.buckets[i]
+}
+
+func (b *builder) service(name model.ServiceName) *serviceIndex {
+	shard := shardOf(name)
+	if !b.ownedShards[shard] {
+		b.next.services[shard] = slices.Clone(b.next.services[shard])
+		b.ownedShards[shard] = true
+	}
+	i, ok := b.next.services[shard].search(name)
+	if !ok {
+		b.next.services[shard] = slices.Insert(b.next.services[shard], i, serviceIndex{name: name})
+	}
+	index := &b.next.services[shard][i]
+	if !b.ownedServices[name] {
+		index.entries = slices.Clone(index.entries)
+		b.ownedServices[name] = true
+	}
+	return index
+}
+
+func (b *builder) domain(name model.FailureDomain) *domainIndex {
+	i, ok := slices.BinarySearchFunc(b.next.domains, name, func(d domainIndex, name model.FailureDomain) int {
+		return cmp.Compare(d.name, name)
+	})
+	if !ok {
+		b.next.domains = slices.Insert(b.next.domains, i, domainIndex{name: name})
+	}
+	index := &b.next.domains[i]
+	if !b.ownedDomains[name] {
+		index.entries = slices.Clone(index.entries)
+		b.ownedDomains[name] = true
+	}
+	return index
+}
--- /dev/null
+++ b/internal/decision/members/digest.go
@@ -0,0 +1,79 @@
+package members
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// Buckets is the number of buckets by which two nodes compare their members.
+// More buckets cost bytes for each comparison, fewer cost bytes for each
+// difference, because a bucket that differs is sent whole.
+const Buckets = 256
+
+const bucketShift = 64 - 8
+
+func bucketOf(hash uint64) int { return int(hash >> bucketShift) }
+
+// Cursor is a place in the member log of another node.
+type Cursor struct {
+	Epoch    uint64
+	Position uint64
+}
+
+// Cursor returns the end of this view's own log.
+func (v *View) Cursor() Cursor { return Cursor{Epoch: v.epoch, Position: v.position} }
+
+// Digests returns one XOR digest for each bucket. Departed instances are left
+// out, so that nodes may forget them at different times.
+func (v *View) Digests() []uint64 {
+	out := make([]uint64, Buckets)
+	for i, b := range v.buckets {
+		out[i] = b.digest
+	}
+	return out
+}
+
+// Since returns the records that the holder of a cursor lacks. With a cursor
+// into this view's log these are the later changes; else the records of the
+// buckets whose digests differ, or all records without digests.
+func (v *View) Since(from Cursor, digests []uint64) []model.Member {
+	var out []model.Member
+	for i, b := range v.buckets {
+		switch {
+		case from.Epoch == v.epoch:
+			out = appendSince(out, b, from.Position)
+		case len(digests) != Buckets || digests[i] != b.digest:
+			out = appendMembers(out, b.entries)
+		}
+	}
+	return out
+}
+
+func appendSince(out []model.Member, b *bucket, position uint64) []model.Member {
+	if b.position <= position {
+		return out
+	}
+	for _, e := range b.entries {
+		if e.position > position {
+			out = append(out, e.member)
+		}
+	}
+	return out
+}
+
+// entryDigest returns the contribution of one record to its bucket's digest.
+func entryDigest(e *entry) uint64 {
+	if Departed(e.member) {
+		return 0
+	}
+	var state [26]byte
+	binary.BigEndian.PutUint64(state[0:], e.hash)
+	binary.BigEndian.PutUint64(state[8:], uint64(e.member.Announced.Incarnation))
+	binary.BigEndian.PutUint64(state[16:], uint64(e.member.ListedAt))
+	state[24] = byte(e.member.Announced.Presence)
+	state[25] = byte(e.member.Listed)
+	return xxhash.Sum64(state[:])
+}
--- /dev/null
+++ b/internal/decision/members/merge.go
@@ -0,0 +1,36 @@
+package members
+
+import "github.com/galenalever/galenalever/internal/model"
+
+// Merge joins two records of one instance and reports whether the result
+// differs from known. The announcement and the listing are joined apart: the
+// newer announcement wins together with the attributes that the node announced
+// about itself, and the listing with the greater revision wins.
+func Merge(known, received model.Member) (model.Member, bool) {
+	merged := known
+	if received.Announced.Supersedes(known.Announced) {
+		merged = received
+		merged.Listed, merged.ListedAt = known.Listed, known.ListedAt
+	}
+	if received.ListedAt > merged.ListedAt {
+		merged.Listed, merged.ListedAt = received.Listed, received.ListedAt
+		if merged.Announced.Presence == model.PresenceUnknown {
+			adoptAttributes(&merged, received)
+		}
+	}
+	return merged, merged != known
+}
+
+// adoptAttributes takes the attributes of a newer listing for an instance that
+// has not announced itself.
+func adoptAttributes(m *model.Member, listed model.Member) {
+	m.Service = listed.Service
+	m.Domain = listed.Domain
+	m.Addresses = listed.Addresses
+}
+
+// Departed reports whether the instance is gone for good, unless it returns
+// under a newer incarnation or listing.
+func Departed(m model.Member) bool {
+	return m.Announced.Presence == model.PresenceGone || m.Listed == model.ListingRemoved
+}
--- /dev/null
+++ b/internal/decision/rank/partners.go
@@ -0,0 +1,94 @@
+package rank
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/galenalever/galenalever/internal/decision/members"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// Target is a destination of announcements: any one of the candidates will do,
+// in this order.
+type Target struct {
+	// Name tells the targets of one node apart.
+	Name       string
+	Candidates []model.Member
+}
+
+// AnnounceTargets returns where a node sends a record that is new to it. A node
+// that is no reader sends it to one reader of its failure domain. A reader
+// sends it to the other readers, and a record of its own failure domain also to
+// one reader of each other domain.
+func AnnounceTargets(view *members.View, self model.Self, reader bool, about model.FailureDomain, excluded Excluded) []Target {
+	own := others(ReadersOf(view, self.Domain, excluded), self)
+	if !reader {
+		return toOne("readers", rotate(own, self.ID))
+	}
+	var targets []Target
+	for _, m := range own {
+		targets = append(targets, toOne("reader "+string(m.ID), []model.Member{m})...)
+	}
+	if about != self.Domain {
+		return targets
+	}
+	for _, domain := range otherDomains(view, self.Domain) {
+		candidates := rotate(ReadersOf(view, domain, excluded), self.ID)
+		targets = append(targets, toOne("domain "+string(domain), candidates)...)
+	}
+	return targets
+}
+
+func toOne(name string, candidates []model.Member) []Target {
+	if len(candidates) == 0 {
+		return nil
+	}
+	return []Target{{Name: name, Candidates: candidates}}
+}
+
+// ReaderPartners returns the nodes that a reader polls in turn: the other
+// readers of its failure domain and one reader of each other domain.
+func ReaderPartners(view *members.View, self model.Self, excluded Excluded) []model.Member {
+	partners := others(ReadersOf(view, self.Domain, excluded), self)
+	for _, domain := range otherDomains(view, self.Domain) {
+		candidates := rotate(ReadersOf(view, domain, excluded), self.ID)
+		if len(candidates) > 0 {
+			partners = append(partners, candidates[0])
+		}
+	}
+	return partners
+}
+
+// RandomPartner returns a random eligible node of the own failure domain, or of
+// any domain when the own one has no other.
+func RandomPartner(view *members.View, self model.Self, rng *rand.Rand) (model.Member, bool) {
+	candidates := order(view, self.Domain)
+	candidates = slices.DeleteFunc(candidates, func(m *model.Member) bool { return m.ID == self.ID })
+	for _, domain := range view.Domains() {
+		if len(candidates) == 0 && domain != self.Domain {
+			candidates = order(view, domain)
+		}
+	}
+	if len(candidates) == 0 {
+		return model.Member{}, false
+	}
+	return *candidates[rng.IntN(len(candidates))], true
+}
+
+func others(list []model.Member, self model.Self) []model.Member {
+	return slices.DeleteFunc(list, func(m model.Member) bool { return m.ID == self.ID })
+}
+
+func otherDomains(view *members.View, own model.FailureDomain) []model.FailureDomain {
+	return slices.DeleteFunc(view.Domains(), func(d model.FailureDomain) bool { return d == own })
+}
+
+// rotate starts the list at a place that depends on the node, which spreads
+// the nodes over the list.
+func rotate(list []model.Member, id model.InstanceID) []model.Member {
+	if len(list) == 0 {
+		return nil
+	}
+	start := int(members.Hash(id) % uint64(len(list)))
+	return append(slices.Clone(list[start:]), list[:start]...)
+}
