--- /dev/null
+++ b/internal/document/command.go
@@ -0,0 +1,117 @@
+package document
+
+import (
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// maxCommands bounds the runbook vocabulary of one team.
+const maxCommands = 500
+
+// parameterPattern matches a reference to a parameter, such as ${slots}.
+var parameterPattern = regexp.MustCompile(`\$\{([^}]*)\}`)
+
+// settablePaths are the top-level fields of a team's document that a command
+// may change.
+var settablePaths = []string{"services", "routes"}
+
+func (t *teamReader) commands(v value) {
+	t.named(v, func(name string, v value) {
+		t.vocabulary = append(t.vocabulary, t.command(name, v))
+	})
+	if len(t.vocabulary) > maxCommands {
+		t.addf(v, "%d commands are more than the limit of %d", len(t.vocabulary), maxCommands)
+	}
+}
+
+func (t *teamReader) command(name string, v value) *model.Command {
+	c := &model.Command{Team: t.team, Name: name}
+	t.mapping(v, fields{
+		"help":       func(v value) { c.Help, _ = t.text(v) },
+		"parameters": func(v value) { c.Parameters = t.texts(v, t.isParameter) },
+		"set":        func(v value) { c.Set = t.settings(v) },
+		"expect":     func(v value) { c.Expect = t.expectation(v) },
+	})
+	if c.Expect == (model.Expectation{}) {
+		t.addf(v, "expect is missing: a command must state the outcome to wait for")
+	}
+	t.checkReferences(v, c)
+	return c
+}
+
+func (t *teamReader) isParameter(v value, name string) bool {
+	if !isName(name) {
+		t.addf(v, "%s is not a parameter name", quote(name))
+		return false
+	}
+	return true
+}
+
+// settings reads a mapping from dotted paths to values.
+func (t *teamReader) settings(v value) []model.Setting {
+	var out []model.Setting
+	for _, e := range t.entries(v) {
+		top, rest, _ := strings.Cut(e.name, ".")
+		if !slices.Contains(settablePaths, top) || rest == "" {
+			t.addf(e.key, "%s is not beneath %s", quote(e.name), strings.Join(settablePaths, " or "))
+			continue
+		}
+		out = append(out, model.Setting{Path: e.name, Value: settingText(e.value.node)})
+	}
+	return out
+}
+
+// settingText returns the YAML text of a value, without the quotes of a plain
+// string, so that a parameter may stand for a number.
+func settingText(node ast.Node) string {
+	if text, ok := node.(*ast.StringNode); ok {
+		return text.Value
+	}
+	return node.String()
+}
+
+func (t *teamReader) expectation(v value) model.Expectation {
+	var e model.Expectation
+	t.mapping(v, fields{
+		"in_force": func(v value) { e.InForce = t.boolean(v) },
+		"present":  func(v value) { t.presence(v, &e) },
+		"absent":   func(v value) { t.absence(v, &e) },
+	})
+	return e
+}
+
+func (t *teamReader) presence(v value, e *model.Expectation) {
+	present := t.mapping(v, fields{
+		"service":  func(v value) { e.PresentService, _ = t.text(v) },
+		"at_least": func(v value) { e.PresentAtLeast = settingText(v.node) },
+	})
+	if len(present) != 2 {
+		t.addf(v, "present needs service and at_least")
+	}
+}
+
+func (t *teamReader) absence(v value, e *model.Expectation) {
+	t.mapping(v, fields{
+		"instance": func(v value) { e.AbsentInstance, _ = t.text(v) },
+	})
+}
+
+// checkReferences reports references to parameters that are not declared.
+func (t *teamReader) checkReferences(v value, c *model.Command) {
+	texts := []string{c.Expect.PresentService, c.Expect.PresentAtLeast, c.Expect.AbsentInstance}
+	for _, s := range c.Set {
+		texts = append(texts, s.Path, s.Value)
+	}
+	for _, text := range texts {
+		for _, match := range parameterPattern.FindAllStringSubmatch(text, -1) {
+			if !slices.Contains(c.Parameters, match[1]) {
+				t.addf(v, "%s is not one of the parameters", quote(match[0]))
+			}
+		}
+	}
+}
--- a/internal/document/decode.go
+++ b/internal/document/decode.go
@@ -48,6 +48,14 @@
 		declarations.Grants = append(declarations.Grants, grant)
 		return requireIdentity(key == model.RootKey && grant.Team == model.TeamName(name))
 	}
+	if name, ok := strings.CutPrefix(leaf.Path, commandsPath); ok {
+		command, err := decodeValue[model.Command](leaf.Value)
+		if err != nil {
+			return err
+		}
+		declarations.Commands = append(declarations.Commands, command)
+		return requireIdentity(command.Team == team && command.Name == name)
+	}
 	return eris.New("path is not known")
 }
 
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -65,6 +65,7 @@
 	servicesPath = "services/"
 	routesPath   = "routes/"
 	grantsPath   = "grants/"
+	commandsPath = "commands/"
 )
 
 // encode returns the canonical leaves of the declarations, sorted by path.
@@ -79,6 +80,9 @@
 	for _, grant := range declarations.Grants {
 		leaves = append(leaves, leaf(grantsPath+string(grant.Team), grant))
 	}
+	for _, command := range declarations.Commands {
+		leaves = append(leaves, leaf(commandsPath+command.Name, command))
+	}
 	model.SortLeaves(leaves)
 	return leaves
 }
--- a/internal/document/scalar.go
+++ b/internal/document/scalar.go
@@ -148,15 +148,9 @@
 // texts reads a list of strings, each accepted by check, which reports faults
 // itself. Duplicates are findings.
 func (r *reader) texts(v value, check func(value, string) bool) []string {
-	list, ok := v.node.(*ast.SequenceNode)
-	if !ok {
-		r.addf(v, "must be a list, not %s", kindOf(v.node))
-		return nil
-	}
-	seen := make(map[string]bool, len(list.Values))
+	seen := make(map[string]bool)
 	var out []string
-	for i, node := range list.Values {
-		item := value{node: node, path: v.path + "[" + strconv.Itoa(i) + "]"}
+	for _, item := range r.items(v) {
 		text, ok := r.text(item)
 		if !ok || !check(item, text) {
 			continue
@@ -170,3 +164,17 @@
 	}
 	return out
 }
+
+// items returns the items of a list.
+func (r *reader) items(v value) []value {
+	list, ok := v.node.(*ast.SequenceNode)
+	if !ok {
+		r.addf(v, "must be a list, not %s", kindOf(v.node))
+		return nil
+	}
+	out := make([]value, len(list.Values))
+	for i, node := range list.Values {
+		out[i] = value{node: node, path: v.path + "[" + strconv.Itoa(i) + "]"}
+	}
+	return out
+}
--- a/internal/document/team.go
+++ b/internal/document/team.go
@@ -39,12 +39,13 @@
 		"team":     t.name,
 		"services": t.services,
 		"routes":   t.routes,
+		"commands": t.commands,
 	})
 	if _, ok := present["team"]; !ok && len(present) > 0 {
 		r.addf(body, "team is missing")
 	}
 	t.checkRoutes()
-	out := model.Declarations{Services: t.declared}
+	out := model.Declarations{Services: t.declared, Commands: t.vocabulary}
 	for _, route := range t.read {
 		out.Routes = append(out.Routes, route.route)
 	}
@@ -57,6 +58,8 @@
 	team     model.TeamName
 	declared []*model.Service
 	read     []placedRoute
+	// vocabulary holds the runbook commands.
+	vocabulary []*model.Command
 }
 
 // placedRoute is a route and the places of its fields.
--- a/internal/model/declarations.go
+++ b/internal/model/declarations.go
@@ -3,11 +3,12 @@
 import "strings"
 
 // Declarations is the typed content of one subtree. The root has grants only,
-// a team's subtree services and routes.
+// a team's subtree services, routes and commands.
 type Declarations struct {
 	Services []*Service
 	Routes   []*Route
 	Grants   []*Grant
+	Commands []*Command
 }
 
 // teamKeyPrefix is what the keys of all team documents start with.
