--- /dev/null
+++ b/internal/decision/admission/admission.go
@@ -0,0 +1,195 @@
+// Package admission decides which requests hold the slots of one backend
+// server, which ones wait and which ones are refused before they run. It is
+// pure: time is an argument, and the caller serialises the calls.
+package admission
+
+import (
+	"time"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// Ticket identifies a request from its arrival until it finishes or is refused.
+type Ticket uint64
+
+// Limits are the bounds of one server.
+type Limits struct {
+	// Slots is the number of requests that run at a time.
+	Slots int
+	// LongSlots is the number of slots that requests of ClassLong may hold.
+	LongSlots int
+	// Queue is the number of requests that may wait for a slot.
+	Queue int
+}
+
+// longQueue bounds the waiting long requests, so that they never fill the queue.
+func (l Limits) longQueue() int {
+	if l.Slots <= 0 {
+		return 0
+	}
+	return min(l.Queue, max(1, l.Queue*l.LongSlots/l.Slots))
+}
+
+// Request is a request that asks for a slot.
+type Request struct {
+	Ticket   Ticket
+	Class    model.Class
+	Deadline time.Time
+	// Exclusive requests run only while no other request holds a slot.
+	Exclusive bool
+}
+
+// Verdict is the decision on one request.
+type Verdict uint8
+
+const (
+	// Run means that the request holds a slot until Finish.
+	Run Verdict = iota + 1
+	// Wait means that the request is queued; a later call decides.
+	Wait
+	// Refuse means that the request does not run and is forgotten.
+	Refuse
+)
+
+// Decision is the verdict on one request. Reason and RetryAfter are set for
+// Refuse only.
+type Decision struct {
+	Ticket     Ticket
+	Verdict    Verdict
+	Reason     model.Reason
+	RetryAfter time.Duration
+}
+
+// running is a request that holds a slot.
+type running struct {
+	class     model.Class
+	exclusive bool
+	since     time.Time
+}
+
+// State is the occupancy of one server.
+type State struct {
+	limits  Limits
+	leaving bool
+	running map[Ticket]running
+	long    int
+	// exclusiveRunning is true while an exclusive request holds a slot.
+	exclusiveRunning bool
+	// exclusive is the exclusive request that waits, if its ticket is not 0.
+	exclusive  Request
+	shortQueue queue
+	longQueue  queue
+	shortTime  average
+	longTime   average
+}
+
+// New returns an empty state.
+func New(limits Limits) *State {
+	return &State{limits: limits, running: make(map[Ticket]running)}
+}
+
+// Load is the occupancy that other nodes learn.
+type Load struct {
+	Running, Queued, Slots int
+}
+
+// Load returns the present occupancy.
+func (s *State) Load() Load {
+	queued := s.shortQueue.len() + s.longQueue.len()
+	if s.exclusive.Ticket != 0 {
+		queued++
+	}
+	return Load{Running: len(s.running), Queued: queued, Slots: s.limits.Slots}
+}
+
+// Arrive decides on a new request.
+func (s *State) Arrive(r Request, now time.Time) Decision {
+	switch {
+	case s.leaving:
+		return refuse(r.Ticket, model.ReasonLeaving, 0)
+	case !r.Deadline.After(now):
+		return refuse(r.Ticket, model.ReasonLate, 0)
+	case r.Exclusive:
+		return s.arriveExclusive(r, now)
+	case s.free(r.Class):
+		s.start(r, now)
+		return Decision{Ticket: r.Ticket, Verdict: Run}
+	}
+	wait := s.predictedWait(r)
+	if s.queueFull(r.Class) {
+		return refuse(r.Ticket, model.ReasonQueueFull, wait)
+	}
+	if now.Add(wait + s.average(r.Class).value()).After(r.Deadline) {
+		return refuse(r.Ticket, model.ReasonLate, wait)
+	}
+	s.queue(r.Class).push(r)
+	return Decision{Ticket: r.Ticket, Verdict: Wait}
+}
+
+// Finish frees the slot of a running request and returns the decisions on
+// queued requests that follow.
+func (s *State) Finish(t Ticket, now time.Time) []Decision {
+	r, ok := s.running[t]
+	if !ok {
+		return nil
+	}
+	delete(s.running, t)
+	if r.class == model.ClassLong {
+		s.long--
+	}
+	if r.exclusive {
+		s.exclusiveRunning = false
+	}
+	s.average(r.class).add(now.Sub(r.since))
+	return s.dispatch(now)
+}
+
+// Abandon removes a queued request whose caller no longer waits, or frees the
+// slot of one that was started but never handed to the server.
+func (s *State) Abandon(t Ticket, now time.Time) []Decision {
+	if r, ok := s.running[t]; ok {
+		r.since = now
+		s.running[t] = r
+		return s.finishUnused(t, now)
+	}
+	if s.exclusive.Ticket == t {
+		s.exclusive = Request{}
+		return s.dispatch(now)
+	}
+	if !s.shortQueue.remove(t) {
+		s.longQueue.remove(t)
+	}
+	return nil
+}
+
+// Configure replaces the limits. Running requests keep their slots.
+func (s *State) Configure(limits Limits, now time.Time) []Decision {
+	if s.limits == limits {
+		return nil
+	}
+	s.limits = limits
+	return s.dispatch(now)
+}
+
+// Leave refuses all queued and all later requests; running ones go on.
+func (s *State) Leave() []Decision {
+	s.leaving = true
+	var out []Decision
+	for _, q := range []*queue{&s.shortQueue, &s.longQueue} {
+		for q.len() > 0 {
+			out = append(out, refuse(q.pop().Ticket, model.ReasonLeaving, 0))
+		}
+	}
+	if s.exclusive.Ticket != 0 {
+		out = append(out, refuse(s.exclusive.Ticket, model.ReasonLeaving, 0))
+		s.exclusive = Request{}
+	}
+	return out
+}
+
+// Leaving reports whether Leave was called.
+func (s *State) Leaving() bool { return s.leaving }
+
+func refuse(t Ticket, reason model.Reason, retryAfter time.Duration) Decision {
+	return Decision{Ticket: t, Verdict: Refuse, Reason: reason, RetryAfter: retryAfter}
+}
--- /dev/null
+++ b/internal/decision/admission/dispatch.go
@@ -0,0 +1,135 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// arriveExclusive admits one exclusive request at a time, and none while a long
+// request runs, since short work would wait until that one ends.
+func (s *State) arriveExclusive(r Request, now time.Time) Decision {
+	if s.exclusiveRunning || s.exclusive.Ticket != 0 || s.long > 0 {
+		return refuse(r.Ticket, model.ReasonSuspect, s.shortTime.value())
+	}
+	if len(s.running) == 0 {
+		s.start(r, now)
+		return Decision{Ticket: r.Ticket, Verdict: Run}
+	}
+	s.exclusive = r
+	return Decision{Ticket: r.Ticket, Verdict: Wait}
+}
+
+// free reports whether a request of the class may start at once.
+func (s *State) free(class model.Class) bool {
+	if s.exclusiveRunning || s.exclusive.Ticket != 0 || len(s.running) >= s.limits.Slots {
+		return false
+	}
+	return class != model.ClassLong || s.long < s.limits.LongSlots
+}
+
+func (s *State) start(r Request, now time.Time) {
+	s.running[r.Ticket] = running{class: r.Class, exclusive: r.Exclusive, since: now}
+	if r.Class == model.ClassLong {
+		s.long++
+	}
+	if r.Exclusive {
+		s.exclusiveRunning = true
+	}
+}
+
+// finishUnused frees a slot without a sample of the service time.
+func (s *State) finishUnused(t Ticket, now time.Time) []Decision {
+	r := s.running[t]
+	delete(s.running, t)
+	if r.class == model.ClassLong {
+		s.long--
+	}
+	if r.exclusive {
+		s.exclusiveRunning = false
+	}
+	return s.dispatch(now)
+}
+
+// dispatch starts queued requests while slots are free, earliest deadline
+// first, and refuses those that can no longer finish in time.
+func (s *State) dispatch(now time.Time) []Decision {
+	var out []Decision
+	if s.exclusive.Ticket != 0 {
+		return s.dispatchExclusive(now)
+	}
+	for {
+		q := s.nextQueue()
+		if q == nil {
+			return out
+		}
+		r := q.pop()
+		if now.Add(s.average(r.Class).value()).After(r.Deadline) || !r.Deadline.After(now) {
+			out = append(out, refuse(r.Ticket, model.ReasonLate, 0))
+			continue
+		}
+		s.start(r, now)
+		out = append(out, Decision{Ticket: r.Ticket, Verdict: Run})
+	}
+}
+
+func (s *State) dispatchExclusive(now time.Time) []Decision {
+	r := s.exclusive
+	if !r.Deadline.After(now) {
+		s.exclusive = Request{}
+		return append([]Decision{refuse(r.Ticket, model.ReasonLate, 0)}, s.dispatch(now)...)
+	}
+	if len(s.running) > 0 {
+		return nil
+	}
+	s.exclusive = Request{}
+	s.start(r, now)
+	return []Decision{{Ticket: r.Ticket, Verdict: Run}}
+}
+
+// nextQueue returns the queue whose first request may start and has the
+// earliest deadline, or nil.
+func (s *State) nextQueue() *queue {
+	var best *queue
+	if s.shortQueue.len() > 0 && s.free(model.ClassShort) {
+		best = &s.shortQueue
+	}
+	if s.longQueue.len() > 0 && s.free(model.ClassLong) {
+		if best == nil || s.longQueue.first().Deadline.Before(best.first().Deadline) {
+			best = &s.longQueue
+		}
+	}
+	return best
+}
+
+func (s *State) queue(class model.Class) *queue {
+	if class == model.ClassLong {
+		return &s.longQueue
+	}
+	return &s.shortQueue
+}
+
+func (s *State) queueFull(class model.Class) bool {
+	if s.shortQueue.len()+s.longQueue.len() >= s.limits.Queue {
+		return true
+	}
+	return class == model.ClassLong && s.longQueue.len() >= s.limits.longQueue()
+}
+
+func (s *State) average(class model.Class) *average {
+	if class == model.ClassLong {
+		return &s.longTime
+	}
+	return &s.shortTime
+}
+
+// predictedWait estimates how long a request waits for a slot, from the queued
+// requests of its class with an earlier deadline and recent service times.
+func (s *State) predictedWait(r Request) time.Duration {
+	slots := s.limits.LongSlots
+	if r.Class != model.ClassLong {
+		slots = s.limits.Slots - s.long
+	}
+	ahead := s.queue(r.Class).countBefore(r.Deadline)
+	return s.average(r.Class).value() * time.Duration(ahead+1) / time.Duration(max(1, slots))
+}
--- /dev/null
+++ b/internal/decision/quarantine/quarantine_test.go
@@ -0,0 +1,135 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"github.com/galenalever/galenalever/internal/decision/quarantine"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+var start = time.Unix(0, 0)
+
+func memberList(names string) []model.Member {
+	var out []model.Member
+	for name := range strings.SplitSeq(names, "+") {
+		m := model.Member{ID: model.InstanceID(name)}
+		m.Announced.Presence = model.PresenceReady
+		out = append(out, m)
+	}
+	return out
+}
+
+func TestScenarios(t *testing.T) {
+	verdicts := map[quarantine.Verdict]string{
+		quarantine.Clear: "clear", quarantine.RunAlone: "run-alone",
+		quarantine.RunElsewhere: "run-elsewhere", quarantine.Quarantined: "quarantined",
+	}
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var table quarantine.Table
+		now := start
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var f, at, expires int
+			var crashed, members string
+			if d.MaybeScanArgs(t, "at", &at) {
+				now = start.Add(time.Duration(at) * time.Second)
+			}
+			d.MaybeScanArgs(t, "request", &f)
+			d.MaybeScanArgs(t, "crashed", &crashed)
+			d.MaybeScanArgs(t, "expires", &expires)
+			d.MaybeScanArgs(t, "members", &members)
+			fingerprint := quarantine.Fingerprint(f)
+			var changes quarantine.Changes
+			switch d.Cmd {
+			case "add":
+				s := quarantine.Suspect{Fingerprint: fingerprint, Expires: start.Add(time.Duration(expires) * time.Second)}
+				for name := range strings.SplitSeq(crashed, "+") {
+					s.Crashed = append(s.Crashed, model.InstanceID(name))
+				}
+				table, changes = table.Add([]quarantine.Suspect{s}, now)
+				return fmt.Sprintf("suspected=%d quarantined=%d ended=%d\n", len(changes.Suspected), len(changes.Quarantined), len(changes.Ended))
+			case "expire":
+				table, changes = table.Expire(now)
+				return fmt.Sprintf("ended=%d left=%d\n", len(changes.Ended), table.Len())
+			case "clear":
+				table = table.Clear(fingerprint)
+				return ""
+			case "decide":
+				var b strings.Builder
+				for _, m := range memberList(members) {
+					decision := table.Decide(fingerprint, m.ID, memberList(members), now)
+					fmt.Fprintf(&b, "%s: %s\n", m.ID, verdicts[decision.Verdict])
+				}
+				return b.String()
+			}
+			return "unknown command"
+		})
+	})
+}
+
+var suspects = rapid.Custom(func(t *rapid.T) quarantine.Suspect {
+	crashed := rapid.SliceOfN(rapid.SampledFrom([]model.InstanceID{"a", "b", "c"}), 1, 3).Draw(t, "crashed")
+	return quarantine.Suspect{
+		Fingerprint: quarantine.Fingerprint(rapid.IntRange(1, 3).Draw(t, "fingerprint")),
+		Crashed:     crashed,
+		Expires:     start.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "expires")) * time.Second),
+	}
+})
+
+// TestNoticesConverge checks that nodes which receive the same notices in any
+// order, and some of them twice, know the same suspects.
+func TestNoticesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		notices := rapid.SliceOfN(suspects, 1, 8).Draw(t, "notices")
+		var once, shuffled quarantine.Table
+		for _, n := range notices {
+			once, _ = once.Add([]quarantine.Suspect{n}, start)
+		}
+		order := rapid.Permutation(append(notices, notices...)).Draw(t, "order")
+		for _, n := range order {
+			shuffled, _ = shuffled.Add([]quarantine.Suspect{n}, start)
+		}
+		if !reflect.DeepEqual(once.Suspects(start), shuffled.Suspects(start)) {
+			t.Fatalf("%v differs from %v", once.Suspects(start), shuffled.Suspects(start))
+		}
+	})
+}
+
+// TestAtMostOneDesignated checks that nodes with equal views run a suspect at one
+// of them at most, and never at one that it has crashed.
+func TestAtMostOneDesignated(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := memberList("a+b+c+d+e+f")
+		s := suspects.Draw(t, "suspect")
+		table, _ := quarantine.Table{}.Add([]quarantine.Suspect{s}, start)
+		runs := 0
+		for _, m := range members {
+			d := table.Decide(s.Fingerprint, m.ID, members, start)
+			if d.Verdict == quarantine.Clear || d.Verdict == quarantine.RunAlone {
+				runs++
+				for _, id := range s.Crashed {
+					if id == m.ID {
+						t.Fatalf("runs again at %s", id)
+					}
+				}
+			}
+		}
+		distinct := make(map[model.InstanceID]bool)
+		for _, id := range s.Crashed {
+			distinct[id] = true
+		}
+		want := 1
+		if len(distinct) > 1 {
+			want = 0
+		}
+		if runs != want {
+			t.Fatalf("%d servers run %+v, want %d", runs, s, want)
+		}
+	})
+}
--- /dev/null
+++ b/internal/service/gate/abandoned.go
@@ -0,0 +1,51 @@
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/decision/quarantine"
+)
+
+const (
+	// abandonedWindow is how long a request whose connection the gate closed
+	// is assumed to run on the server.
+	abandonedWindow = 5 * time.Second
+	// maxAbandoned bounds the requests that are remembered.
+	maxAbandoned = 64
+)
+
+// abandoned remembers the requests whose connection the gate closed before the
+// server answered. They may still crash it. It is safe for concurrent use.
+type abandoned struct {
+	mu      sync.Mutex
+	entries []abandonedEntry
+}
+
+type abandonedEntry struct {
+	fingerprint quarantine.Fingerprint
+	at          time.Time
+}
+
+func (a *abandoned) add(f quarantine.Fingerprint, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.entries = append(a.entries, abandonedEntry{fingerprint: f, at: now})
+	if len(a.entries) > maxAbandoned {
+		a.entries = append(a.entries[:0], a.entries[1:]...)
+	}
+}
+
+// take removes all entries and returns those that may still run.
+func (a *abandoned) take(now time.Time) []quarantine.Fingerprint {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []quarantine.Fingerprint
+	for _, e := range a.entries {
+		if now.Sub(e.at) < abandonedWindow {
+			out = append(out, e.fingerprint)
+		}
+	}
+	a.entries = nil
+	return out
+}
--- /dev/null
+++ b/internal/service/gate/answer.go
@@ -0,0 +1,71 @@
+package gate
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/decision/dedupe"
+	"github.com/galenalever/galenalever/internal/hop"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// refuse answers a call that the server does not answer.
+func (s *Service) refuse(c *call, r *refusal) {
+	s.counters.countRefused(r.reason)
+	header := c.w.Header()
+	s.stamp(c, hop.Response{Outcome: r.outcome, Reason: r.reason, RetryAfter: r.retryAfter})
+	if r.retryAfter > 0 {
+		seconds := (r.retryAfter + time.Second - 1) / time.Second
+		header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	http.Error(c.w, r.outcome.String()+": "+string(r.reason), status(r))
+}
+
+// status returns the HTTP status of a refusal.
+func status(r *refusal) int {
+	switch r.reason {
+	case model.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case model.ReasonDuplicate:
+		return http.StatusConflict
+	case model.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	case model.ReasonCrashed, model.ReasonConnectionLost, model.ReasonCancelled:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// replay sends the stored answer to a repeat.
+func (s *Service) replay(c *call, answer *dedupe.Answer) {
+	s.counters.countReplayed()
+	header := c.w.Header()
+	for name, values := range answer.Header {
+		header[name] = values
+	}
+	s.stamp(c, hop.Response{Outcome: model.OutcomeAnswered})
+	c.w.WriteHeader(answer.Status)
+	_, _ = c.w.Write(answer.Body)
+}
+
+// stamp sets the headers that tell the caller's node about the answer and this
+// gate. A gate that is leaving also closes its connections.
+func (s *Service) stamp(c *call, r hop.Response) {
+	r.ID, r.Incarnation, r.Load = c.ID, s.self.Incarnation, s.load()
+	if s.timestamps != nil {
+		r.Time = s.timestamps.Now()
+	}
+	r.Encode(c.w.Header())
+	if s.leaving.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
+func (s *Service) load() hop.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.admission.Load()
+	return hop.Load{InFlight: l.Running, Queued: l.Queued, Slots: l.Slots}
+}
--- /dev/null
+++ b/internal/service/gate/call.go
@@ -0,0 +1,91 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/decision/admission"
+	"github.com/galenalever/galenalever/internal/decision/dedupe"
+	"github.com/galenalever/galenalever/internal/decision/quarantine"
+	"github.com/galenalever/galenalever/internal/hop"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+const idempotencyHeader = "Idempotency-Key"
+
+// call is one forwarded request at the gate.
+type call struct {
+	hop.Request
+	w           http.ResponseWriter
+	r           *http.Request
+	deadline    time.Time
+	fingerprint quarantine.Fingerprint
+	// keys and identity are set for requests that are remembered.
+	keys     []dedupe.Key
+	identity uint64
+	// exclusive is true for a suspect that runs alone.
+	exclusive bool
+
+	// The fields below are set and cleared in the gate's critical section.
+	ticket admission.Ticket
+	// entry is set while the request must still be ended in the memory.
+	entry *dedupe.Entry
+	// slot and repeat receive the decision on a request that waits.
+	slot   chan admission.Decision
+	repeat chan dedupe.Decision
+	// counted is true while a drain waits for the request, admitted while it
+	// holds a slot or a place in the queue.
+	counted, admitted bool
+}
+
+func (s *Service) newCall(w http.ResponseWriter, r *http.Request, request hop.Request) *call {
+	key := r.Header.Get(idempotencyHeader)
+	shape := quarantine.Shape{
+		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery,
+		BodyLength: r.ContentLength, IdempotencyKey: key,
+	}
+	c := &call{Request: request, w: w, r: r, deadline: s.clock.Now().Add(request.Timeout), fingerprint: shape.Fingerprint()}
+	if !request.Idempotent {
+		c.remember(shape, key)
+	}
+	return c
+}
+
+// remember sets the keys under which repeats are found. A stored answer goes
+// only to a repeat with the same credentials.
+func (c *call) remember(shape quarantine.Shape, key string) {
+	c.keys = append(c.keys, dedupe.RequestKey(c.ID))
+	if key != "" {
+		c.keys = append(c.keys, dedupe.IdempotencyKey(c.Route, key))
+	}
+	shape.IdempotencyKey += "\n" + c.r.Header.Get("Authorization")
+	c.identity = uint64(shape.Fingerprint())
+}
+
+// context returns the context in which the request runs on the server. It ends
+// with the deadline and, for idempotent requests only, when the caller's node
+// goes away: ending any other request would lose its answer.
+func (c *call) context(clk clock.Clock) (context.Context, context.CancelFunc) {
+	parent := c.r.Context()
+	if !c.Idempotent {
+		parent = context.WithoutCancel(parent)
+	}
+	return clock.WithTimeout(parent, clk, c.deadline.Sub(clk.Now()))
+}
+
+// refusal is the end of a call that is not answered by the server.
+type refusal struct {
+	outcome    model.Outcome
+	reason     model.Reason
+	retryAfter time.Duration
+}
+
+func notRun(reason model.Reason) *refusal {
+	return &refusal{outcome: model.OutcomeNotRun, reason: reason}
+}
+
+func unknown(reason model.Reason) *refusal {
+	return &refusal{outcome: model.OutcomeUnknown, reason: reason}
+}
--- /dev/null
+++ b/internal/service/gate/drain.go
@@ -0,0 +1,71 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+// lameDuck is how long a drained gate goes on refusing requests, so that nodes
+// which have not heard that it leaves learn it from a refusal.
+const lameDuck = time.Second
+
+// leave refuses queued and new requests from now on. Running ones go on.
+func (s *Service) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving.Swap(true) {
+		return
+	}
+	s.partners.timeline.Record(timeline.KindDrainStarted, "")
+	s.deliver(s.admission.Leave())
+	s.closeIfIdle()
+}
+
+// closeIfIdle ends the wait of a drain. The critical section must be held. While
+// the gate is leaving, working only falls, so idle is closed once.
+func (s *Service) closeIfIdle() {
+	if s.working == 0 && s.leaving.Load() {
+		close(s.idle)
+	}
+}
+
+// Stop implements kernel.Stopper. It waits for the last running request, goes on
+// refusing for a short time and closes the listener.
+func (s *Service) Stop(ctx context.Context) error {
+	s.leave()
+	drained := s.awaitIdle(ctx)
+	s.refuseFor(ctx, lameDuck)
+	if err := s.http.Shutdown(ctx); err != nil {
+		drained = false
+		_ = s.http.Close()
+	}
+	<-s.served
+	if !drained {
+		return eris.New("requests were running when the time to drain was over")
+	}
+	s.partners.timeline.Record(timeline.KindDrainFinished, "")
+	return nil
+}
+
+func (s *Service) awaitIdle(ctx context.Context) bool {
+	select {
+	case <-s.idle:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Service) refuseFor(ctx context.Context, d time.Duration) {
+	over := make(chan struct{})
+	timer := s.clock.AfterFunc(d, func() { close(over) })
+	defer timer.Stop()
+	select {
+	case <-over:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/service/gate/gate.go
@@ -0,0 +1,161 @@
+// Package gate is the only way to the backend server beside a node. It takes
+// forwarded requests, decides whether and when they run, runs them on the server
+// and says of each whether it was answered, did not run or may have run.
+package gate
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/admission"
+	"github.com/galenalever/galenalever/internal/decision/dedupe"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+// Config configures the service.
+type Config struct {
+	Self model.Self
+	// Listener takes requests from other nodes. The service closes it.
+	Listener net.Listener
+	// Timestamps marks the answers for the time line; nil leaves them unmarked.
+	Timestamps *timeline.Clock
+}
+
+// Service implements the kernel's service "gate". It is an http.Handler, so that
+// a caller's node in the same process needs no connection.
+type Service struct {
+	self       model.Self
+	listener   net.Listener
+	timestamps *timeline.Clock
+	partners   partners
+	http       *http.Server
+	served     chan struct{}
+	clock      clock.Clock
+	log        *slog.Logger
+	leaving    atomic.Bool
+	counters   *counters
+
+	mu        sync.Mutex
+	tickets   admission.Ticket
+	admission *admission.State
+	memory    *dedupe.Memory
+	queued    map[admission.Ticket]chan admission.Decision
+	repeats   map[dedupe.Waiter]chan dedupe.Decision
+	abandoned abandoned
+	// working counts the requests that run or are queued; idle is closed when
+	// there is none while the gate is leaving.
+	working int
+	idle    chan struct{}
+}
+
+// New returns a gate that is not yet listening.
+func New(c Config) *Service {
+	s := &Service{
+		self:       c.Self,
+		listener:   c.Listener,
+		timestamps: c.Timestamps,
+		served:     make(chan struct{}),
+		admission:  admission.New(admission.Limits{}),
+		memory:     dedupe.New(memoryBounds),
+		queued:     make(map[admission.Ticket]chan admission.Decision),
+		repeats:    make(map[dedupe.Waiter]chan dedupe.Decision),
+		idle:       make(chan struct{}),
+	}
+	s.http = newServer(s)
+	return s
+}
+
+// memoryBounds limit what the gate remembers of requests.
+var memoryBounds = dedupe.Bounds{
+	Window:      10 * time.Minute,
+	Entries:     32768,
+	AnswerBytes: 8 << 20,
+	Waiters:     4,
+}
+
+const (
+	headerTimeout   = 5 * time.Second
+	idleTimeout     = 90 * time.Second
+	longestRequest  = time.Hour
+	maxHeaderBytes  = 64 << 10
+	maxRequestBytes = 1 << 30
+)
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       longestRequest,
+		WriteTimeout:      longestRequest,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return control.Gate }
+
+// Provision implements kernel.Provisioner.
+func (s *Service) Provision(c *kernel.Context) error {
+	s.clock, s.log = c.Clock, c.Log
+	s.http.ErrorLog = slog.NewLogLogger(c.Log.Handler(), slog.LevelDebug)
+	var err error
+	if s.partners, err = findPartners(c); err != nil {
+		return err
+	}
+	s.counters = newCounters(s.partners.metrics.Scope())
+	kernel.Subscribe(c.Loop, s.handleConfigurationChanged)
+	kernel.Subscribe(c.Loop, s.handlePresenceChanged)
+	s.configure()
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (s *Service) Start(context.Context) error {
+	go func() {
+		defer close(s.served)
+		if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error("traffic listener failed", "error", err)
+		}
+	}()
+	return nil
+}
+
+func (s *Service) handleConfigurationChanged(control.ConfigurationChanged) { s.configure() }
+
+func (s *Service) handlePresenceChanged(m control.PresenceChanged) {
+	if m.Presence >= model.PresenceLeaving {
+		s.leave()
+	}
+}
+
+// configure takes the limits of the service from the running configuration.
+func (s *Service) configure() {
+	service := s.service()
+	if service == nil {
+		return
+	}
+	limits := admission.Limits{Slots: service.Slots, LongSlots: service.LongSlots, Queue: service.Queue}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliver(s.admission.Configure(limits, s.clock.Now()))
+}
+
+// service returns the declaration of this server's service, or nil.
+func (s *Service) service() *model.Service {
+	c := s.partners.config.Configuration().Load()
+	if c == nil || c.Tree == nil {
+		return nil
+	}
+	return c.Tree.Services[s.self.Service]
+}
--- /dev/null
+++ b/internal/service/gate/partners.go
@@ -0,0 +1,82 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/quarantine"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+// configuration is the part of the config service that the gate uses.
+type configuration interface {
+	Configuration() *kernel.Snapshot[*model.Configuration]
+}
+
+// server is the part of the backend service that the gate uses.
+type server interface {
+	Available() bool
+	Do(r *http.Request, notAfter time.Time, idempotent bool) (*http.Response, error)
+	Crashed(ctx context.Context) bool
+}
+
+// suspects is the part of the quarantine service that the gate uses.
+type suspects interface {
+	Prepared() bool
+	Decide(f quarantine.Fingerprint) quarantine.Decision
+	Report(ctx context.Context, fingerprints []quarantine.Fingerprint)
+	RanAlone(f quarantine.Fingerprint)
+	Suspects() *kernel.Snapshot[quarantine.Table]
+}
+
+// watchdog tells whether the process was paused and has not synchronised since.
+type watchdog interface{ Fresh() bool }
+
+// recorder is the part of the time line that the gate uses.
+type recorder interface {
+	Record(kind timeline.Kind, detail string)
+}
+
+// metrics is the part of the metrics service that the gate uses.
+type metrics interface{ Scope() tally.Scope }
+
+// partners are the services that the gate uses.
+type partners struct {
+	config   configuration
+	server   server
+	suspects suspects
+	watchdog watchdog // nil if the node has none
+	timeline recorder
+	metrics  metrics
+}
+
+func findPartners(c *kernel.Context) (partners, error) {
+	var p partners
+	var err error
+	if p.config, err = kernel.Find[configuration](c, control.Config); err != nil {
+		return p, err
+	}
+	if p.server, err = kernel.Find[server](c, control.Backend); err != nil {
+		return p, err
+	}
+	if p.suspects, err = kernel.Find[suspects](c, control.Quarantine); err != nil {
+		return p, err
+	}
+	if p.timeline, err = kernel.Find[recorder](c, control.Timeline); err != nil {
+		return p, err
+	}
+	if p.metrics, err = kernel.Find[metrics](c, control.Metrics); err != nil {
+		return p, err
+	}
+	p.watchdog, _ = kernel.Find[watchdog](c, control.Watchdog)
+	return p, nil
+}
+
+// fresh reports whether what the node knows of others may be believed.
+func (p partners) fresh() bool { return p.watchdog == nil || p.watchdog.Fresh() }
--- /dev/null
+++ b/internal/service/gate/run.go
@@ -0,0 +1,91 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+
+	"github.com/galenalever/galenalever/internal/hop"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// mayHaveRun is implemented by the errors of the backend service.
+type mayHaveRun interface{ MayHaveRun() bool }
+
+// run sends a call that holds a slot to the server and passes on the answer.
+func (s *Service) run(c *call) {
+	ctx, cancel := c.context(s.clock)
+	defer cancel()
+	response, err := s.partners.server.Do(outgoing(ctx, c.r), c.deadline, c.Idempotent)
+	if err != nil {
+		s.failed(ctx, c, err)
+		return
+	}
+	defer response.Body.Close()
+	s.relay(ctx, c, response)
+}
+
+// outgoing returns the request as the server gets it.
+func outgoing(ctx context.Context, r *http.Request) *http.Request {
+	header := r.Header.Clone()
+	hop.Strip(header)
+	stripConnectionHeaders(header)
+	header.Del("Expect")
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // keeps the transport from adding its own
+	}
+	out := &http.Request{
+		Method:        r.Method,
+		URL:           &url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
+		Host:          r.Host,
+		Header:        header,
+		ContentLength: r.ContentLength,
+	}
+	if r.ContentLength != 0 {
+		out.Body = http.MaxBytesReader(nil, r.Body, maxRequestBytes)
+	}
+	return out.WithContext(ctx)
+}
+
+// failed ends a call for which the server gave no answer.
+func (s *Service) failed(ctx context.Context, c *call, err error) {
+	var attempt mayHaveRun
+	if errors.As(err, &attempt) && !attempt.MayHaveRun() {
+		s.endNotRun(c, notRun(s.notRunReason(ctx, c)))
+		return
+	}
+	s.refuse(c, unknown(s.lost(ctx, c)))
+}
+
+func (s *Service) notRunReason(ctx context.Context, c *call) model.Reason {
+	switch {
+	case !s.clock.Now().Before(c.deadline):
+		return model.ReasonLate
+	case ctx.Err() != nil:
+		return model.ReasonCancelled
+	}
+	return model.ReasonBackendDown
+}
+
+// lost finds out why a request that may have run has no whole answer. If its
+// server crashed, the gates of the service know the request as a suspect when
+// lost returns.
+func (s *Service) lost(ctx context.Context, c *call) model.Reason {
+	s.release(c, false)
+	now := s.clock.Now()
+	switch {
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		s.abandoned.add(c.fingerprint, now)
+		return model.ReasonDeadline
+	case ctx.Err() != nil:
+		s.abandoned.add(c.fingerprint, now)
+		return model.ReasonCancelled
+	}
+	ctx = context.WithoutCancel(ctx)
+	if !s.partners.server.Crashed(ctx) {
+		return model.ReasonConnectionLost
+	}
+	s.partners.suspects.Report(ctx, append(s.abandoned.take(now), c.fingerprint))
+	return model.ReasonCrashed
+}
--- /dev/null
+++ b/internal/service/gate/stats.go
@@ -0,0 +1,131 @@
+package gate
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/galenalever/galenalever/internal/decision/quarantine"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// counters count the ends of requests, for metrics and for the status page. They
+// are safe for concurrent use.
+type counters struct {
+	scope    tally.Scope
+	answered tally.Counter
+	replayed tally.Counter
+
+	mu     sync.Mutex
+	totals totals
+	// refused holds the metrics of the reasons seen so far.
+	refused map[model.Reason]tally.Counter
+}
+
+// totals are counts since the start of the process.
+type totals struct {
+	answered, replayed uint64
+	refused            map[model.Reason]uint64
+}
+
+func newCounters(scope tally.Scope) *counters {
+	return &counters{
+		scope:    scope,
+		answered: scope.Counter("gate_answered"),
+		replayed: scope.Counter("gate_replayed"),
+		totals:   totals{refused: make(map[model.Reason]uint64)},
+		refused:  make(map[model.Reason]tally.Counter),
+	}
+}
+
+func (c *counters) countAnswered() {
+	c.answered.Inc(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.totals.answered++
+}
+
+func (c *counters) countReplayed() {
+	c.replayed.Inc(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.totals.replayed++
+}
+
+func (c *counters) countRefused(reason model.Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counter, ok := c.refused[reason]
+	if !ok {
+		counter = c.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("gate_refused")
+		c.refused[reason] = counter
+	}
+	counter.Inc(1)
+	c.totals.refused[reason]++
+}
+
+func (c *counters) snapshot() totals {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.totals
+	t.refused = maps.Clone(t.refused)
+	return t
+}
+
+// Stats is the state of a gate as operators see it.
+type Stats struct {
+	// Answered counts answers of the server, Replayed stored ones that went to
+	// repeats, and Refused all others by reason.
+	Answered uint64                  `json:"answered"`
+	Replayed uint64                  `json:"replayed"`
+	Refused  map[model.Reason]uint64 `json:"refused,omitempty"`
+	// InFlight, Queued and Slots are the present occupancy.
+	InFlight int `json:"in_flight"`
+	Queued   int `json:"queued"`
+	Slots    int `json:"slots"`
+	// Remembered counts the requests that are protected from running again.
+	Remembered int       `json:"remembered"`
+	Leaving    bool      `json:"leaving"`
+	Suspects   []Suspect `json:"suspects,omitempty"`
+}
+
+// Suspect is a request that was running when a server crashed.
+type Suspect struct {
+	Fingerprint string             `json:"fingerprint"`
+	Crashed     []model.InstanceID `json:"crashed"`
+	Quarantined bool               `json:"quarantined"`
+	// ExpiresIn is the time until the record ends.
+	ExpiresIn time.Duration `json:"expires_in_ns"`
+}
+
+// Stats returns the present state. Any goroutine may call it.
+func (s *Service) Stats() Stats {
+	t := s.counters.snapshot()
+	load := s.load()
+	s.mu.Lock()
+	remembered := s.memory.Len()
+	s.mu.Unlock()
+	now := s.clock.Now()
+	return Stats{
+		Answered: t.answered, Replayed: t.replayed, Refused: t.refused,
+		InFlight: load.InFlight, Queued: load.Queued, Slots: load.Slots,
+		Remembered: remembered,
+		Leaving:    s.leaving.Load(),
+		Suspects:   listSuspects(s.partners.suspects.Suspects().Load().Suspects(now), now),
+	}
+}
+
+func listSuspects(in []quarantine.Suspect, now time.Time) []Suspect {
+	var out []Suspect
+	for _, s := range in {
+		out = append(out, Suspect{
+			Fingerprint: s.Fingerprint.String(),
+			Crashed:     s.Crashed,
+			Quarantined: s.Quarantined(),
+			ExpiresIn:   s.Expires.Sub(now),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/service/quarantine/handlers.go
@@ -0,0 +1,64 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/galenalever/galenalever/internal/decision/quarantine"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+// received carries suspects of this node or of a peer to the control loop.
+type received struct {
+	suspects []quarantine.Suspect
+	// applied is closed when the snapshot holds the suspects.
+	applied chan<- struct{}
+}
+
+// MessageName implements kernel.Message.
+func (received) MessageName() string { return "suspects-received" }
+
+// ranAlone tells that a suspect ran without a crash.
+type ranAlone struct{ fingerprint quarantine.Fingerprint }
+
+// MessageName implements kernel.Message.
+func (ranAlone) MessageName() string { return "suspect-ran-alone" }
+
+// expiryDue asks to remove records that have ended.
+type expiryDue struct{}
+
+// MessageName implements kernel.Message.
+func (expiryDue) MessageName() string { return "suspect-expiry-due" }
+
+// expirySlack delays the removal of a record beyond its end, so that one timer
+// finds it ended.
+const expirySlack = time.Second
+
+func (s *Service) handleReceived(m received) {
+	next, changes := s.table.Load().Add(m.suspects, s.clock.Now())
+	s.table.Store(next)
+	close(m.applied)
+	s.record(changes)
+	s.loop.After(quarantine.Duration+expirySlack, expiryDue{})
+}
+
+func (s *Service) handleRanAlone(m ranAlone) {
+	s.table.Store(s.table.Load().Clear(m.fingerprint))
+}
+
+func (s *Service) handleExpiryDue(expiryDue) {
+	next, changes := s.table.Load().Expire(s.clock.Now())
+	s.table.Store(next)
+	s.record(changes)
+}
+
+func (s *Service) record(changes quarantine.Changes) {
+	for _, f := range changes.Suspected {
+		s.timeline.Record(timeline.KindRequestSuspected, f.String())
+	}
+	for _, f := range changes.Quarantined {
+		s.timeline.Record(timeline.KindRequestQuarantined, f.String())
+	}
+	for _, f := range changes.Ended {
+		s.timeline.Record(timeline.KindQuarantineEnded, f.String())
+	}
+}
--- /dev/null
+++ b/internal/service/quarantine/notify.go
@@ -0,0 +1,134 @@
+package quarantine
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/decision/quarantine"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/wire"
+)
+
+const (
+	// maxParallelCalls bounds the calls to peers that run at a time.
+	maxParallelCalls = 32
+	// idleConnections is the time after which an unused connection is closed.
+	idleConnections = 30 * time.Second
+)
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		IdleConnTimeout:     idleConnections,
+		MaxIdleConnsPerHost: 1,
+		MaxConnsPerHost:     2,
+	}}
+}
+
+// requestPull wakes the goroutine that asks the peers. It never blocks.
+func (s *Service) requestPull() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// pullOnRequest asks the peers for their suspects whenever this node has
+// synchronised, so that a fresh or paused one learns what it missed.
+func (s *Service) pullOnRequest(ctx context.Context) {
+	for {
+		select {
+		case <-s.wake:
+			s.pull(ctx)
+			s.prepared.Store(true)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Service) pull(ctx context.Context) {
+	ctx, cancel := clock.WithTimeout(ctx, s.clock, pullTimeout)
+	defer cancel()
+	s.notify(ctx, s.table.Load().Suspects(s.clock.Now()))
+}
+
+// notify sends suspects to the gates of the same service, in parallel, and takes
+// over those that they answer with. It returns when all have answered or the
+// context ends.
+func (s *Service) notify(ctx context.Context, suspects []quarantine.Suspect) {
+	request := encode(string(s.self.ID), suspects, s.clock.Now())
+	var group sync.WaitGroup
+	slots := make(chan struct{}, maxParallelCalls)
+	for _, peer := range s.peers() {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			if err := s.call(ctx, peer, request); err != nil {
+				s.log.Warn("peer did not acknowledge suspects", "peer", peer.ID, "error", err)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// peers returns the other members of the service whose node may run.
+func (s *Service) peers() []model.Member {
+	var out []model.Member
+	for _, m := range s.members.ServiceMembers(s.self.Service) {
+		gone := m.Announced.Presence == model.PresenceGone || m.Listed == model.ListingRemoved
+		if m.ID != s.self.ID && !gone && m.Addresses.Control != "" {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (s *Service) call(ctx context.Context, peer model.Member, request *wire.SuspectRequest) error {
+	client := wire.NewExchangeProtobufClient("http://"+peer.Addresses.Control, s.client)
+	answer, err := client.Suspect(ctx, request)
+	if err != nil {
+		return eris.Wrapf(err, "notice to %s", peer.ID)
+	}
+	if known := decode(answer.Suspects, s.clock.Now()); len(known) > 0 {
+		s.apply(ctx, known)
+	}
+	return nil
+}
+
+func encode(node string, suspects []quarantine.Suspect, now time.Time) *wire.SuspectRequest {
+	request := &wire.SuspectRequest{Node: node}
+	for _, s := range suspects {
+		crashed := make([]string, len(s.Crashed))
+		for i, id := range s.Crashed {
+			crashed[i] = string(id)
+		}
+		request.Suspects = append(request.Suspects, &wire.Suspect{
+			Fingerprint:           uint64(s.Fingerprint),
+			Crashes:               uint32(len(crashed)),
+			Crashed:               crashed,
+			ExpiresInMilliseconds: uint32(max(0, s.Expires.Sub(now).Milliseconds())),
+		})
+	}
+	return request
+}
+
+func decode(in []*wire.Suspect, now time.Time) []quarantine.Suspect {
+	var out []quarantine.Suspect
+	for _, s := range in {
+		crashed := make([]model.InstanceID, len(s.Crashed))
+		for i, id := range s.Crashed {
+			crashed[i] = model.InstanceID(id)
+		}
+		out = append(out, quarantine.Suspect{
+			Fingerprint: quarantine.Fingerprint(s.Fingerprint),
+			Crashed:     crashed,
+			Expires:     now.Add(time.Duration(s.ExpiresInMilliseconds) * time.Millisecond),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/service/quarantine/quarantine.go
@@ -0,0 +1,175 @@
+// Package quarantine keeps the suspects of this node, the requests that were
+// running when a backend server crashed, and exchanges them with the gates of
+// the same service. The suspects are control state: handlers on the control loop
+// change them, and the gate reads an immutable snapshot.
+package quarantine
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/quarantine"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+const (
+	// noticeTimeout bounds the wait for the acknowledgements of a notice, and so
+	// the delay of the failed request's answer.
+	noticeTimeout = 200 * time.Millisecond
+	// pullTimeout bounds one round of asking the peers for their suspects.
+	pullTimeout = 500 * time.Millisecond
+	// prepareTimeout is when the gate may start although no peer was heard.
+	prepareTimeout = 5 * time.Second
+)
+
+// members is the part of the membership service that this one uses.
+type members interface {
+	ServiceMembers(name model.ServiceName) []model.Member
+}
+
+// recorder is the part of the time line that this service uses.
+type recorder interface {
+	Record(kind timeline.Kind, detail string)
+}
+
+// Config configures the service.
+type Config struct {
+	Self model.Self
+	// Client sends the notices; nil means one with its own connections.
+	Client *http.Client
+}
+
+// Service implements the kernel's service "quarantine".
+type Service struct {
+	self     model.Self
+	client   *http.Client
+	table    *kernel.Snapshot[quarantine.Table]
+	loop     *kernel.Loop
+	clock    clock.Clock
+	log      *slog.Logger
+	members  members
+	timeline recorder
+	wake     chan struct{}
+	done     chan struct{}
+	prepared atomic.Bool
+}
+
+// New returns a service without suspects.
+func New(c Config) *Service {
+	if c.Client == nil {
+		c.Client = newClient()
+	}
+	return &Service{
+		self:   c.Self,
+		client: c.Client,
+		table:  kernel.NewSnapshot(quarantine.Table{}),
+		wake:   make(chan struct{}, 1),
+		done:   make(chan struct{}),
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return control.Quarantine }
+
+// Provision implements kernel.Provisioner.
+func (s *Service) Provision(c *kernel.Context) error {
+	s.loop, s.clock, s.log = c.Loop, c.Clock, c.Log
+	var err error
+	if s.members, err = kernel.Find[members](c, control.Membership); err != nil {
+		return err
+	}
+	if s.timeline, err = kernel.Find[recorder](c, control.Timeline); err != nil {
+		return err
+	}
+	kernel.Subscribe(c.Loop, s.handleReceived)
+	kernel.Subscribe(c.Loop, s.handleRanAlone)
+	kernel.Subscribe(c.Loop, s.handleExpiryDue)
+	kernel.Subscribe(c.Loop, func(control.Synchronised) { s.requestPull() })
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (s *Service) Start(ctx context.Context) error {
+	timer := s.clock.AfterFunc(prepareTimeout, func() { s.prepared.Store(true) })
+	go func() {
+		defer close(s.done)
+		defer timer.Stop()
+		s.pullOnRequest(ctx)
+	}()
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (s *Service) Stop(context.Context) error {
+	s.client.CloseIdleConnections()
+	return nil
+}
+
+// Suspects returns the snapshot of the suspects.
+func (s *Service) Suspects() *kernel.Snapshot[quarantine.Table] { return s.table }
+
+// Decide returns the verdict on a request at this node. Any goroutine may call
+// it.
+func (s *Service) Decide(f quarantine.Fingerprint) quarantine.Decision {
+	table := s.table.Load()
+	if table.Len() == 0 {
+		return quarantine.Decision{Verdict: quarantine.Clear}
+	}
+	return table.Decide(f, s.self.ID, s.members.ServiceMembers(s.self.Service), s.clock.Now())
+}
+
+// Prepared reports whether the peers' suspects are known, or could not be had
+// in a bounded time. The gate takes no requests before.
+func (s *Service) Prepared() bool { return s.prepared.Load() }
+
+// Report makes suspects of requests that were running when this node's server
+// crashed. It returns when the gates of the same service have acknowledged the
+// notice, or after a bounded time. The requests must not be answered before.
+func (s *Service) Report(ctx context.Context, fingerprints []quarantine.Fingerprint) {
+	ctx, cancel := clock.WithTimeout(ctx, s.clock, noticeTimeout)
+	defer cancel()
+	expires := s.clock.Now().Add(quarantine.Duration)
+	suspects := make([]quarantine.Suspect, len(fingerprints))
+	for i, f := range fingerprints {
+		suspects[i] = quarantine.Suspect{Fingerprint: f, Crashed: []model.InstanceID{s.self.ID}, Expires: expires}
+	}
+	s.apply(ctx, suspects)
+	s.notify(ctx, suspects)
+}
+
+// RanAlone tells that a suspect ran alone on this node's server without a crash.
+func (s *Service) RanAlone(f quarantine.Fingerprint) { s.loop.TryPost(ranAlone{fingerprint: f}) }
+
+// HandleSuspects takes the suspects of the peer node into account and returns
+// those that this node knows. The exchange service calls it for peers' calls.
+func (s *Service) HandleSuspects(node string, in []quarantine.Suspect) []quarantine.Suspect {
+	ctx, cancel := clock.WithTimeout(context.Background(), s.clock, noticeTimeout)
+	defer cancel()
+	if len(in) > 0 {
+		s.log.Info("suspects received", "peer", node, "count", len(in))
+		s.apply(ctx, in)
+	}
+	return s.table.Load().Suspects(s.clock.Now())
+}
+
+// apply hands suspects to the control loop and waits until the snapshot holds
+// them.
+func (s *Service) apply(ctx context.Context, in []quarantine.Suspect) {
+	applied := make(chan struct{})
+	if err := s.loop.Post(ctx, received{suspects: in, applied: applied}); err != nil {
+		s.log.Error("suspects not recorded", "error", err)
+		return
+	}
+	select {
+	case <-applied:
+	case <-ctx.Done():
+		s.log.Error("suspects not recorded in time")
+	}
+}
