--- /dev/null
+++ b/internal/call/body.go
@@ -0,0 +1,137 @@
+package call
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+// BufferLimit is the size in bytes up to which a body is held in memory, so
+// that the request can be sent again.
+const BufferLimit = 64 << 10
+
+// unknownLength stands for the length of a body that is not declared.
+const unknownLength = -1
+
+// Body is the body of a caller's request. A small one is held in memory and can
+// be opened any number of times; a large one is a stream that can be opened
+// again only until its first byte was read.
+type Body struct {
+	data   []byte
+	stream io.Reader
+	length int64
+	opened *streamReader
+}
+
+// ReadBody reads a body of the declared length (-1 if unknown) from r. It reads
+// small bodies to their end.
+func ReadBody(r io.Reader, length int64) (*Body, error) {
+	if length == 0 {
+		return &Body{}, nil
+	}
+	if length > BufferLimit {
+		return &Body{stream: r, length: length}, nil
+	}
+	data, err := readSmall(r, length)
+	if err != nil {
+		return nil, err
+	}
+	if len(data) <= BufferLimit {
+		return &Body{data: data, length: int64(len(data))}, nil
+	}
+	return &Body{stream: io.MultiReader(bytes.NewReader(data), r), length: unknownLength}, nil
+}
+
+// readSmall reads up to one byte more than BufferLimit.
+func readSmall(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(io.LimitReader(r, BufferLimit+1))
+	}
+	data := make([]byte, length)
+	_, err := io.ReadFull(r, data)
+	return data, err
+}
+
+// Length returns the length in bytes, or -1 if it is unknown.
+func (b *Body) Length() int64 { return b.length }
+
+// Streamed reports whether the body is too large to be held in memory.
+func (b *Body) Streamed() bool { return b.stream != nil }
+
+// Replayable reports whether Open would return the whole body again. It ends
+// the use of the reader that the last Open returned.
+func (b *Body) Replayable() bool {
+	return b.stream == nil || b.opened == nil || b.opened.detach()
+}
+
+// Err returns the error, other than io.EOF, with which reading the caller's
+// stream failed, or nil.
+func (b *Body) Err() error {
+	if b.opened == nil {
+		return nil
+	}
+	if err := b.opened.failed.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// IsTooLarge reports whether a body exceeds the limit of its route.
+func IsTooLarge(err error) bool {
+	var tooLarge *http.MaxBytesError
+	return errors.As(err, &tooLarge)
+}
+
+// Open returns a reader of the whole body. Of a stream only one reader may be
+// in use; Replayable must have returned true before the next one is opened.
+func (b *Body) Open() io.ReadCloser {
+	switch {
+	case b.length == 0:
+		return http.NoBody
+	case b.stream == nil:
+		return io.NopCloser(bytes.NewReader(b.data))
+	default:
+		b.opened = &streamReader{stream: b.stream}
+		return b.opened
+	}
+}
+
+var errDetached = eris.New("the body is read by another attempt")
+
+// The states of a streamReader.
+const (
+	streamUnread int32 = iota
+	streamRead
+	streamDetached
+)
+
+// streamReader reads a stream unless it was detached before its first read.
+type streamReader struct {
+	stream io.Reader
+	state  atomic.Int32
+	failed atomic.Pointer[error]
+}
+
+// Read implements io.Reader.
+func (s *streamReader) Read(p []byte) (int, error) {
+	if s.state.Load() != streamRead && !s.state.CompareAndSwap(streamUnread, streamRead) {
+		return 0, errDetached
+	}
+	n, err := s.stream.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.failed.Store(&err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer. The stream belongs to the caller's connection.
+func (s *streamReader) Close() error { return nil }
+
+// detach reports whether no byte was read and prevents further reads.
+func (s *streamReader) detach() bool {
+	return s.state.CompareAndSwap(streamUnread, streamDetached) || s.state.Load() == streamDetached
+}
--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,65 @@
+// Package call holds what the service that takes callers' requests and the one
+// that forwards them hand to each other: a routed request with its body, and
+// the answer.
+package call
+
+import (
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/galenalever/galenalever/internal/decision/route"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// ErrDeadline is the cause of a context that ended at the request's deadline.
+var ErrDeadline = eris.New("the deadline of the request has passed")
+
+// Request is one request of a caller together with its route.
+type Request struct {
+	ID          model.RequestID
+	Route       *model.Route
+	Destination *route.Destination
+	Method      string
+	// URL holds path and query; Host is the caller's Host header.
+	URL  *url.URL
+	Host string
+	// Header holds the end-to-end headers, none of which is a node's own.
+	Header http.Header
+	Body   *Body
+	// IdempotencyKey is the caller's key, or empty.
+	IdempotencyKey string
+	// Deadline is the end of the time for the whole answer.
+	Deadline time.Time
+}
+
+// Keyed reports whether only the owner of the request's key may run it.
+func (r *Request) Keyed() bool { return !r.Route.Idempotent && r.IdempotencyKey != "" }
+
+// Answer is the result of a forwarded request.
+type Answer struct {
+	Outcome model.Outcome
+	// Reason is empty for an answered request.
+	Reason model.Reason
+	// RetryAfter is the delay after which a retry makes sense; 0 means unknown.
+	RetryAfter time.Duration
+	// Attempts counts the attempts, questions and hedges included.
+	Attempts int
+	// Response is set for an answered request. Its body must be closed.
+	Response *Response
+}
+
+// Response is the head of a server's answer and the stream of its body. A read
+// error other than io.EOF means that the answer is broken.
+type Response struct {
+	Status int
+	Header http.Header
+	// Length is the length of the body, or -1.
+	Length int64
+	Body   io.ReadCloser
+	// Trailer is filled when the body has been read.
+	Trailer http.Header
+}
--- /dev/null
+++ b/internal/decision/balance/rank.go
@@ -0,0 +1,83 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// localPerRemote is the number of servers of the caller's own failure domain
+// between two others in a rank.
+const localPerRemote = 3
+
+// Server is what Rank needs to know about a server.
+type Server struct {
+	Instance model.InstanceID
+	Local    bool
+}
+
+// Rank returns the positions of servers in the caller's order of preference: by
+// rendezvous hash, servers of the caller's failure domain three to one ahead of
+// the others. Callers differ, so that the load of a large service spreads while
+// each caller keeps connections to few servers.
+func Rank(caller model.InstanceID, servers []Server) []int {
+	var local, remote []int
+	for _, i := range byHash(string(caller), servers) {
+		if servers[i].Local {
+			local = append(local, i)
+		} else {
+			remote = append(remote, i)
+		}
+	}
+	rank := make([]int, 0, len(servers))
+	for len(local) > 0 || len(remote) > 0 {
+		n := min(localPerRemote, len(local))
+		rank, local = append(rank, local[:n]...), local[n:]
+		n = min(1, len(remote))
+		rank, remote = append(rank, remote[:n]...), remote[n:]
+	}
+	return rank
+}
+
+// byHash returns the positions of servers by descending rendezvous hash.
+func byHash(key string, servers []Server) []int {
+	order := make([]int, len(servers))
+	weights := make([]uint64, len(servers))
+	for i, s := range servers {
+		order[i] = i
+		weights[i] = weight(key, s.Instance)
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(servers[a].Instance, servers[b].Instance))
+	})
+	return order
+}
+
+// Owner returns the position of the server that keeps the memory of an
+// idempotency key, or -1 if excluded tells that no server is left. It depends
+// on the instances alone, so every node finds the same owner.
+func Owner(key string, count int, instance func(int) model.InstanceID, excluded func(int) bool) int {
+	owner, best := -1, uint64(0)
+	for i := range count {
+		if excluded(i) {
+			continue
+		}
+		w := weight(key, instance(i))
+		if owner < 0 || w > best || (w == best && instance(i) < instance(owner)) {
+			owner, best = i, w
+		}
+	}
+	return owner
+}
+
+func weight(key string, instance model.InstanceID) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(instance))
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/decision/retry/budget.go
@@ -0,0 +1,56 @@
+package retry
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Budget is a token bucket that bounds extra attempts as a share of recent
+// requests. It is safe for concurrent use.
+type Budget struct {
+	tokens   atomic.Int64 // in thousandths
+	refilled atomic.Int64 // time of the last refill
+}
+
+const (
+	// tokenUnit is one token.
+	tokenUnit = 1000
+	// budgetCapacity is what a budget holds at most, so that past requests
+	// allow only so many extra attempts at once.
+	budgetCapacity = 20 * tokenUnit
+	// budgetRefill is the time after which a budget gains a token also without
+	// requests, so that a rarely used route can retry.
+	budgetRefill = time.Second
+)
+
+// NewBudget returns a budget with the given number of tokens.
+func NewBudget(tokens int) *Budget {
+	b := &Budget{}
+	b.tokens.Store(int64(tokens) * tokenUnit)
+	return b
+}
+
+// Deposit adds percent hundredths of a token for one request.
+func (b *Budget) Deposit(percent int, now time.Duration) {
+	amount := int64(percent) * tokenUnit / 100
+	last := b.refilled.Load()
+	if percent > 0 && now-time.Duration(last) >= budgetRefill && b.refilled.CompareAndSwap(last, int64(now)) {
+		amount += tokenUnit
+	}
+	if b.tokens.Load() < budgetCapacity {
+		b.tokens.Add(amount)
+	}
+}
+
+// Withdraw takes one token and reports whether there was one.
+func (b *Budget) Withdraw() bool {
+	for {
+		tokens := b.tokens.Load()
+		if tokens < tokenUnit {
+			return false
+		}
+		if b.tokens.CompareAndSwap(tokens, tokens-tokenUnit) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/decision/retry/retry.go
@@ -0,0 +1,159 @@
+// Package retry decides what follows an attempt: the answer goes to the caller,
+// the request is sent to another server, or the same gate is asked again. It
+// also holds the budgets that bound retries and hedges.
+package retry
+
+import (
+	"time"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// Request is what a decision needs to know about a request.
+type Request struct {
+	// Idempotent states that running the request twice does no harm.
+	Idempotent bool
+	// Keyed is true for a request that is not idempotent and carries an
+	// idempotency key. Only the server that owns the key may run it.
+	Keyed bool
+	// Attempts is the largest number of attempts, the first included.
+	Attempts int
+}
+
+// Progress is the state of a request after an attempt.
+type Progress struct {
+	// Attempts counts the attempts so far, Questions those of them that asked
+	// the same gate again.
+	Attempts, Questions int
+	// TimeLeft is the time until the deadline.
+	TimeLeft time.Duration
+	// Replayable is true if the whole body can be sent again.
+	Replayable bool
+	// GateKnown is true if the attempt named the gate's incarnation, so that
+	// the gate can be asked what became of the request.
+	GateKnown bool
+	// Alone is true if no other server is left.
+	Alone bool
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Outcome model.Outcome
+	Reason  model.Reason
+	// RetryAfter is the delay that the server asked for; 0 means none.
+	RetryAfter time.Duration
+}
+
+// Action is what follows an attempt.
+type Action uint8
+
+const (
+	// Finish hands the result to the caller.
+	Finish Action = iota
+	// SendElsewhere sends the request to a server that has not had it.
+	SendElsewhere
+	// SendAgain sends the request to any server, those that had it included.
+	SendAgain
+	// AskSameGate sends the request with the same ID to the same gate process,
+	// which runs it only if it never saw it, and else replays the answer.
+	AskSameGate
+)
+
+// Decision is an action and the delay before it. SendElsewhere and SendAgain
+// need a token of the retry budget.
+type Decision struct {
+	Action Action
+	Delay  time.Duration
+}
+
+// maxQuestions bounds how often the same gate is asked about one request.
+const maxQuestions = 4
+
+// Source supplies uniformly distributed random numbers.
+type Source interface {
+	Uint64() uint64
+}
+
+// Decide returns what follows an attempt.
+func Decide(q Request, p Progress, r Result, random Source) Decision {
+	d := decide(q, p, r, random)
+	if d.Action != Finish && d.Delay >= p.TimeLeft {
+		return Decision{Action: Finish}
+	}
+	return d
+}
+
+func decide(q Request, p Progress, r Result, random Source) Decision {
+	switch {
+	case r.Outcome == model.OutcomeAnswered || r.Reason == model.ReasonCancelled:
+		return Decision{Action: Finish}
+	case p.Questions > 0 || r.Outcome == model.OutcomeUnknown && !q.Idempotent:
+		return question(p, r, random)
+	case !p.Replayable || p.Attempts >= q.Attempts || !mayMove(q, r):
+		return Decision{Action: Finish}
+	case p.Alone:
+		return Decision{Action: SendAgain, Delay: max(r.RetryAfter, backoff(p.Attempts+1, random))}
+	default:
+		return Decision{Action: SendElsewhere, Delay: backoff(p.Attempts, random)}
+	}
+}
+
+// question decides whether to ask the same gate again.
+func question(p Progress, r Result, random Source) Decision {
+	if !p.Replayable || !p.GateKnown || p.Questions >= maxQuestions || !mayAsk(p, r) {
+		return Decision{Action: Finish}
+	}
+	return Decision{Action: AskSameGate, Delay: max(r.RetryAfter, backoff(p.Questions+1, random))}
+}
+
+// mayAsk reports whether the gate may know more than it said. A gate that
+// answered has said what it knows, unless it refused a question, for which its
+// reason may pass.
+func mayAsk(p Progress, r Result) bool {
+	switch r.Reason {
+	case model.ReasonConnectionLost, model.ReasonUnreachable:
+		return true
+	case model.ReasonQueueFull:
+		return p.Questions > 0
+	default:
+		return false
+	}
+}
+
+// mayMove reports whether another server may run the request.
+func mayMove(q Request, r Result) bool {
+	switch r.Reason {
+	case model.ReasonQuarantined, model.ReasonTooLarge, model.ReasonLate, model.ReasonDuplicate, model.ReasonDeadline:
+		return false
+	}
+	// A refusal of the owner of a key says nothing about earlier sends of the
+	// key, except that a leaving server will not run it any more.
+	return !q.Keyed || r.Reason == model.ReasonLeaving
+}
+
+// Settle returns the result that the caller is told. A refusal does not take
+// back an earlier attempt whose outcome is open.
+func Settle(p Progress, r Result) Result {
+	if p.Questions > 0 && r.Outcome == model.OutcomeNotRun {
+		return Result{Outcome: model.OutcomeUnknown, Reason: model.ReasonConnectionLost}
+	}
+	return r
+}
+
+const (
+	// backoffBase is the longest delay before the second retry; it doubles up
+	// to backoffLimit. The first retry goes out at once.
+	backoffBase  = 5 * time.Millisecond
+	backoffLimit = 200 * time.Millisecond
+)
+
+// backoff returns a jittered delay after the given number of attempts.
+func backoff(attempts int, random Source) time.Duration {
+	if attempts <= 1 {
+		return 0
+	}
+	limit := min(backoffBase<<min(attempts-2, 10), backoffLimit)
+	const mantissaBits = 53
+	unit := float64(random.Uint64()>>(64-mantissaBits)) / (1 << mantissaBits)
+	return limit/2 + time.Duration(unit*float64(limit/2))
+}
--- /dev/null
+++ b/internal/decision/route/endpoint.go
@@ -0,0 +1,82 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// EndpointID names one life of one backend server instance. Statistics belong
+// to it, so a restarted instance begins afresh.
+type EndpointID struct {
+	Instance model.InstanceID
+	// Incarnation is 0 while the instance has not announced itself.
+	Incarnation model.Incarnation
+}
+
+// Endpoint is a present backend server, reached through the node beside it. Its
+// pointer stays the same over tables as long as nothing of it changes.
+type Endpoint struct {
+	ID     EndpointID
+	Domain model.FailureDomain
+	// Address is the traffic address of the node.
+	Address string
+}
+
+// Destination is a service with its present endpoints. It is immutable and
+// keeps its pointer over tables as long as nothing of it changes.
+type Destination struct {
+	Service *model.Service
+	// Endpoints are ordered by instance.
+	Endpoints []*Endpoint
+	// Generation is the number of the table that introduced the destination.
+	Generation uint64
+}
+
+// newDestination returns the destination of a service, with the endpoints of
+// previous where they did not change. It returns previous itself if nothing
+// did.
+func newDestination(
+	service *model.Service, members []model.Member, previous *Destination, generation uint64,
+) *Destination {
+	endpoints := presentEndpoints(members)
+	if previous == nil {
+		return &Destination{Service: service, Endpoints: endpoints, Generation: generation}
+	}
+	reuseEndpoints(endpoints, previous.Endpoints)
+	if *previous.Service == *service && slices.Equal(previous.Endpoints, endpoints) {
+		return previous
+	}
+	return &Destination{Service: service, Endpoints: endpoints, Generation: generation}
+}
+
+func presentEndpoints(members []model.Member) []*Endpoint {
+	endpoints := make([]*Endpoint, 0, len(members))
+	for _, m := range members {
+		if !m.Present() || m.Addresses.Traffic == "" {
+			continue
+		}
+		endpoints = append(endpoints, &Endpoint{
+			ID:      EndpointID{Instance: m.ID, Incarnation: m.Announced.Incarnation},
+			Domain:  m.Domain,
+			Address: m.Addresses.Traffic,
+		})
+	}
+	slices.SortFunc(endpoints, func(a, b *Endpoint) int { return cmp.Compare(a.ID.Instance, b.ID.Instance) })
+	return endpoints
+}
+
+// reuseEndpoints replaces equal endpoints by those of old. Both are ordered by
+// instance.
+func reuseEndpoints(endpoints, old []*Endpoint) {
+	j := 0
+	for i, e := range endpoints {
+		for j < len(old) && old[j].ID.Instance < e.ID.Instance {
+			j++
+		}
+		if j < len(old) && *old[j] == *e {
+			endpoints[i] = old[j]
+		}
+	}
+}
--- /dev/null
+++ b/internal/service/balancer/server.go
@@ -0,0 +1,189 @@
+package balancer
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/decision/balance"
+	"github.com/galenalever/galenalever/internal/decision/route"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+// The latency of short and long requests is kept apart.
+const (
+	shortIndex = iota
+	longIndex
+	classCount
+)
+
+func classIndex(class model.Class) int {
+	if class == model.ClassLong {
+		return longIndex
+	}
+	return shortIndex
+}
+
+// server is the statistics of one endpoint. All fields that change are atomic;
+// times are durations since the start of the service.
+type server struct {
+	endpoint  *route.Endpoint
+	local     bool
+	warmSince atomic.Int64
+	load      atomic.Uint64 // requests in flight in the upper half, queued in the lower
+	loadAt    atomic.Int64
+	health    atomic.Pointer[balance.Health] // nil means healthy
+	classes   [classCount]classStatistics
+}
+
+type classStatistics struct {
+	outstanding atomic.Int64
+	latency     atomic.Int64
+	latencyAt   atomic.Int64
+}
+
+// pool is the servers of a destination in this node's order of preference.
+type pool struct {
+	service *model.Service
+	servers []*server
+}
+
+// poolView is a pool as one attempt sees it.
+type poolView struct {
+	pool  *pool
+	class int
+	tried []*route.Endpoint
+	now   time.Duration
+}
+
+// Len implements balance.Pool.
+func (v *poolView) Len() int { return len(v.pool.servers) }
+
+// At implements balance.Pool.
+func (v *poolView) At(position int) balance.Statistics {
+	s := v.pool.servers[position]
+	class := &s.classes[v.class]
+	return balance.Statistics{
+		Local:       s.local,
+		Excluded:    contains(v.tried, s.endpoint),
+		Slots:       v.pool.service.Slots,
+		Queue:       v.pool.service.Queue,
+		Outstanding: int(class.outstanding.Load()),
+		Load:        unpackLoad(s.load.Load()),
+		LoadAt:      time.Duration(s.loadAt.Load()),
+		Latency:     time.Duration(class.latency.Load()),
+		LatencyAt:   time.Duration(class.latencyAt.Load()),
+		Health:      s.currentHealth(),
+		WarmSince:   time.Duration(s.warmSince.Load()),
+		SlowStart:   v.pool.service.SlowStart,
+	}
+}
+
+func (s *server) currentHealth() balance.Health {
+	if h := s.health.Load(); h != nil {
+		return *h
+	}
+	return balance.Health{}
+}
+
+// done takes the outcome of an attempt into account.
+func (s *server) done(owner *Service, class int, r balance.Report) {
+	now := owner.now()
+	statistics := &s.classes[class]
+	statistics.outstanding.Add(-1)
+	if r.Reported {
+		s.load.Store(packLoad(r.Load))
+		s.loadAt.Store(int64(now))
+	}
+	statistics.observe(r, now)
+	s.updateHealth(owner, r, now)
+}
+
+// observe adds a latency sample. An attempt that was given up shows only that
+// the latency is not less than the time waited.
+func (c *classStatistics) observe(r balance.Report, now time.Duration) {
+	answered := r.Reported && r.Outcome == model.OutcomeAnswered
+	for {
+		old := c.latency.Load()
+		next := int64(balance.Smooth(time.Duration(old), r.Latency))
+		if r.Latency <= 0 || !answered && next <= old || r.Outcome == model.OutcomeNotRun {
+			return
+		}
+		if c.latency.CompareAndSwap(old, next) {
+			c.latencyAt.Store(int64(now))
+			return
+		}
+	}
+}
+
+// updateHealth stores the next health record if it differs. After an ejection
+// the server begins with slow start again.
+func (s *server) updateHealth(owner *Service, r balance.Report, now time.Duration) {
+	for {
+		stored := s.health.Load()
+		var old balance.Health
+		if stored != nil {
+			old = *stored
+		}
+		next := old.Next(r, now, owner.config.Random)
+		if next == old {
+			return
+		}
+		changed := next
+		if s.health.CompareAndSwap(stored, &changed) {
+			s.reportHealth(owner, old, next, r, now)
+			return
+		}
+	}
+}
+
+func (s *server) reportHealth(owner *Service, old, next balance.Health, r balance.Report, now time.Duration) {
+	switch {
+	case next.EjectedUntil > old.EjectedUntil:
+		s.warmSince.Store(int64(next.EjectedUntil))
+		owner.events.Record(timeline.KindServerEjected, fmt.Sprintf("instance %s for %s: %s",
+			s.endpoint.ID.Instance, (next.EjectedUntil-now).Round(time.Millisecond), r.Reason))
+	case old.Ejections > 0 && next.Ejections == 0:
+		owner.events.Record(timeline.KindServerRestored, "instance "+string(s.endpoint.ID.Instance))
+	}
+}
+
+const halfBits = 32
+
+func packLoad(l balance.Load) uint64 {
+	return uint64(uint32(l.InFlight))<<halfBits | uint64(uint32(l.Queued))
+}
+
+func unpackLoad(packed uint64) balance.Load {
+	return balance.Load{InFlight: int(packed >> halfBits), Queued: int(uint32(packed))}
+}
+
+// ServerStatus is what a status page shows of one server.
+type ServerStatus struct {
+	Instance    model.InstanceID `json:"instance"`
+	Outstanding int              `json:"outstanding"`
+	Load        balance.Load     `json:"load"`
+	Latency     time.Duration    `json:"latency_ns"`
+	Failures    int              `json:"failures"`
+	Ejected     bool             `json:"ejected"`
+}
+
+func (s *server) status(now time.Duration) ServerStatus {
+	h := s.currentHealth()
+	short, long := &s.classes[shortIndex], &s.classes[longIndex]
+	return ServerStatus{
+		Instance:    s.endpoint.ID.Instance,
+		Outstanding: int(short.outstanding.Load() + long.outstanding.Load()),
+		Load:        unpackLoad(s.load.Load()),
+		Latency:     time.Duration(short.latency.Load()),
+		Failures:    h.Failures,
+		Ejected:     h.Ejected(now),
+	}
+}
+
+func sortStatus(list []ServerStatus) {
+	slices.SortFunc(list, func(a, b ServerStatus) int { return cmp.Compare(a.Instance, b.Instance) })
+}
--- /dev/null
+++ b/internal/service/forward/attempt.go
@@ -0,0 +1,145 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/call"
+	"github.com/galenalever/galenalever/internal/decision/balance"
+	"github.com/galenalever/galenalever/internal/decision/retry"
+	"github.com/galenalever/galenalever/internal/decision/route"
+	"github.com/galenalever/galenalever/internal/hop"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// attempt is one sending of a request to one gate.
+type attempt struct {
+	request  *call.Request
+	endpoint *route.Endpoint
+	// number counts from 1.
+	number int
+}
+
+// result is how an attempt ended.
+type result struct {
+	retry.Result
+	// response is set if the gate handed on the server's answer.
+	response *call.Response
+	report   balance.Report
+}
+
+// send makes one attempt. An answered result holds resources until its body is
+// closed.
+func (s *Service) send(ctx context.Context, a attempt) result {
+	begin := s.clock.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	observer := &writeObserver{}
+	request := s.newRequest(ctx, a, observer)
+	response, err := s.transports.forRequest(a.request).RoundTrip(request)
+	elapsed := s.clock.Now().Sub(begin)
+	if err != nil {
+		failed := failure(ctx, a.request.Body, observer.giveUp())
+		cancel()
+		return finished(failed, elapsed)
+	}
+	head, ok := hop.DecodeResponse(response.Header)
+	if !ok || head.ID != a.request.ID || !delimited(response) {
+		// Not an answer of this request's gate: the request may have run.
+		observer.giveUp()
+		cancel()
+		_ = response.Body.Close()
+		return finished(retry.Result{Reason: model.ReasonConnectionLost}, elapsed)
+	}
+	r := interpret(response, head, elapsed)
+	if r.Outcome != model.OutcomeAnswered {
+		_ = response.Body.Close()
+		cancel()
+		return r
+	}
+	r.response = newResponse(response, cancel)
+	return r
+}
+
+// newRequest encodes the attempt for the gate.
+func (s *Service) newRequest(ctx context.Context, a attempt, observer *writeObserver) *http.Request {
+	q := a.request
+	header := endToEnd(q.Header, nodeHeaders)
+	if !q.Route.Idempotent {
+		hideReplayHeaders(header)
+	}
+	if q.Body.Streamed() {
+		// A gate that refuses answers before it reads any of the body.
+		header.Set("Expect", "100-continue")
+	}
+	s.nodeRequest(a).Encode(header)
+	target := *q.URL
+	target.Scheme = "http"
+	target.Host = a.endpoint.Address
+	request := &http.Request{
+		Method: q.Method, URL: &target, Host: q.Host, Header: header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: q.Body.Open(), ContentLength: q.Body.Length(),
+	}
+	return request.WithContext(traced(ctx, observer))
+}
+
+// nodeHeaders is the number of headers that hop.Request sets.
+const nodeHeaders = 9
+
+func (s *Service) nodeRequest(a attempt) hop.Request {
+	q := a.request
+	r := hop.Request{
+		ID: q.ID, Service: q.Route.Service, Route: q.Route.Name,
+		Class: q.Route.Class, Idempotent: q.Route.Idempotent, Attempt: a.number,
+		Timeout:     q.Deadline.Sub(s.clock.Now()),
+		Incarnation: a.endpoint.ID.Incarnation,
+	}
+	if s.config.Time != nil {
+		r.Time = s.config.Time.Now()
+	}
+	return r
+}
+
+// failure classifies an attempt without an answer.
+func failure(ctx context.Context, body *call.Body, wrote bool) retry.Result {
+	r := retry.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonUnreachable}
+	if wrote {
+		r = retry.Result{Outcome: model.OutcomeUnknown, Reason: model.ReasonConnectionLost}
+	}
+	switch {
+	case context.Cause(ctx) == call.ErrDeadline && wrote:
+		r.Reason = model.ReasonDeadline
+	case context.Cause(ctx) == call.ErrDeadline:
+		r.Reason = model.ReasonLate
+	case call.IsTooLarge(body.Err()):
+		r.Reason = model.ReasonTooLarge
+	case ctx.Err() != nil || body.Err() != nil:
+		r.Reason = model.ReasonCancelled
+	}
+	return r
+}
+
+// finished wraps the result of an attempt whose gate said nothing.
+func finished(r retry.Result, elapsed time.Duration) result {
+	return result{Result: r, report: balance.Report{Outcome: r.Outcome, Reason: r.Reason, Latency: elapsed}}
+}
+
+// interpret reads what the gate said.
+func interpret(response *http.Response, head hop.Response, elapsed time.Duration) result {
+	r := retry.Result{Outcome: head.Outcome, Reason: head.Reason, RetryAfter: head.RetryAfter}
+	report := balance.Report{
+		Outcome: head.Outcome, Reason: head.Reason, Reported: true,
+		Load: balance.Load{InFlight: head.Load.InFlight, Queued: head.Load.Queued},
+	}
+	if response.StatusCode < http.StatusInternalServerError {
+		report.Latency = elapsed // a quick error says nothing of the speed
+	}
+	return result{Result: r, report: report}
+}
+
+// delimited reports whether a cut of the body would be noticed.
+func delimited(r *http.Response) bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Body == http.NoBody ||
+		r.Request.Method == http.MethodHead
+}
--- /dev/null
+++ b/internal/service/forward/series.go
@@ -0,0 +1,143 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/call"
+	"github.com/galenalever/galenalever/internal/decision/balance"
+	"github.com/galenalever/galenalever/internal/decision/retry"
+	"github.com/galenalever/galenalever/internal/decision/route"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// series is the attempts of one request.
+type series struct {
+	service  *Service
+	request  *call.Request
+	budgets  *routeBudgets
+	rules    retry.Request
+	progress retry.Progress
+	// tried holds the endpoints that the request must not be sent to again;
+	// current is the last of them.
+	tried   []*route.Endpoint
+	current *route.Endpoint
+}
+
+// Forward sends the request until it is answered or no further attempt is
+// allowed. The context must end at the request's deadline, with the cause
+// call.ErrDeadline, and when the caller goes away.
+func (s *Service) Forward(ctx context.Context, q *call.Request) *call.Answer {
+	run := &series{
+		service: s, request: q,
+		budgets: s.budgets.deposit(q.Route, s.clock.Now().Sub(s.start)),
+		rules: retry.Request{
+			Idempotent: q.Route.Idempotent, Keyed: q.Keyed(), Attempts: max(q.Route.Retry.Attempts, 1),
+		},
+	}
+	last := result{Result: retry.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonNoServer}}
+	next := retry.Decision{Action: retry.SendElsewhere}
+	for next.Action != retry.Finish && run.wait(ctx, next.Delay) {
+		current, ok := run.act(ctx, next.Action)
+		if !ok {
+			break
+		}
+		last = current
+		next = run.decide(last)
+	}
+	return run.answer(last)
+}
+
+// act carries out a decision. It reports false if no server is left.
+func (r *series) act(ctx context.Context, action retry.Action) (result, bool) {
+	if action == retry.AskSameGate {
+		r.service.chooser.Begin(r.current, r.request.Route.Class)
+		r.progress.Questions++
+		return r.attempt(ctx, r.current), true
+	}
+	if action == retry.SendAgain {
+		r.tried = r.tried[:0]
+	}
+	endpoint := r.pick()
+	if endpoint == nil {
+		return result{}, false
+	}
+	if r.mayHedge() {
+		return r.hedged(ctx, endpoint), true
+	}
+	return r.attempt(ctx, endpoint), true
+}
+
+// pick chooses the server of the next attempt.
+func (r *series) pick() *route.Endpoint {
+	q := r.request
+	var endpoint *route.Endpoint
+	if q.Keyed() {
+		endpoint = r.service.chooser.PickOwner(q.Destination, q.Route.Class, q.IdempotencyKey, r.tried)
+	} else {
+		endpoint = r.service.chooser.Pick(q.Destination, q.Route.Class, r.tried)
+	}
+	if endpoint != nil {
+		r.tried = append(r.tried, endpoint)
+		r.current = endpoint
+	}
+	return endpoint
+}
+
+// attempt sends the request to a picked endpoint. The report to the balancer
+// follows when the attempt, with the body of its answer, has ended.
+func (r *series) attempt(ctx context.Context, e *route.Endpoint) result {
+	r.progress.Attempts++
+	return r.service.sendPicked(ctx, attempt{request: r.request, endpoint: e, number: r.progress.Attempts})
+}
+
+// sendPicked makes an attempt at a picked endpoint and reports its end.
+func (s *Service) sendPicked(ctx context.Context, a attempt) result {
+	sent := s.send(ctx, a)
+	done := func(report balance.Report) { s.chooser.Done(a.endpoint, a.request.Route.Class, report) }
+	if sent.response == nil {
+		done(sent.report)
+		return sent
+	}
+	sent.response.Body = &reportedBody{ReadCloser: sent.response.Body, ctx: ctx, report: sent.report, done: done}
+	return sent
+}
+
+// decide returns what follows the last attempt, within the retry budget.
+func (r *series) decide(last result) retry.Decision {
+	r.progress.TimeLeft = r.request.Deadline.Sub(r.service.clock.Now())
+	r.progress.GateKnown = r.current.ID.Incarnation != 0
+	r.progress.Alone = len(r.tried) >= len(r.request.Destination.Endpoints)
+	r.progress.Replayable = last.Outcome == model.OutcomeAnswered || r.request.Body.Replayable()
+	decision := retry.Decide(r.rules, r.progress, last.Result, r.service.config.Random)
+	spends := decision.Action == retry.SendElsewhere || decision.Action == retry.SendAgain
+	if spends && !r.budgets.retries.Withdraw() {
+		return retry.Decision{Action: retry.Finish}
+	}
+	return decision
+}
+
+// wait lets d pass and reports false if the context ended first.
+func (r *series) wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	passed := make(chan struct{})
+	timer := r.service.clock.AfterFunc(d, func() { close(passed) })
+	defer timer.Stop()
+	select {
+	case <-passed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// answer returns what the caller is told.
+func (r *series) answer(last result) *call.Answer {
+	settled := retry.Settle(r.progress, last.Result)
+	return &call.Answer{
+		Outcome: settled.Outcome, Reason: settled.Reason, RetryAfter: settled.RetryAfter,
+		Attempts: r.progress.Attempts, Response: last.response,
+	}
+}
--- /dev/null
+++ b/internal/service/forward/service.go
@@ -0,0 +1,94 @@
+// Package forward is the service that carries out a routed request: it sends it
+// to the gate beside a chosen server, tries again where that is safe, and
+// returns the answer. It knows exactly whether a byte of a failed attempt may
+// have been written.
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/balance"
+	"github.com/galenalever/galenalever/internal/decision/retry"
+	"github.com/galenalever/galenalever/internal/decision/route"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+// chooser is the part of the balancer service that forward uses. Every Pick,
+// PickOwner and Begin is followed by one Done.
+type chooser interface {
+	Pick(d *route.Destination, class model.Class, tried []*route.Endpoint) *route.Endpoint
+	PickOwner(d *route.Destination, class model.Class, key string, tried []*route.Endpoint) *route.Endpoint
+	Begin(e *route.Endpoint, class model.Class)
+	Done(e *route.Endpoint, class model.Class, r balance.Report)
+}
+
+// Config is what the service needs to know.
+type Config struct {
+	// Time stamps forwarded requests; nil sends no time.
+	Time *timeline.Clock
+	// Random supplies random numbers to concurrent requests; nil means the
+	// process-wide generator.
+	Random retry.Source
+}
+
+// Service forwards requests. It is safe for concurrent use.
+type Service struct {
+	config     Config
+	clock      clock.Clock
+	start      time.Time
+	chooser    chooser
+	transports *transports
+	budgets    budgets
+	background sync.WaitGroup
+}
+
+// New returns the service.
+func New(config Config) *Service {
+	if config.Random == nil {
+		config.Random = processRandom{}
+	}
+	return &Service{config: config, transports: newTransports()}
+}
+
+type processRandom struct{}
+
+func (processRandom) Uint64() uint64 { return rand.Uint64() }
+
+// Name implements kernel.Service.
+func (*Service) Name() string { return control.Forward }
+
+// Provision implements kernel.Provisioner.
+func (s *Service) Provision(c *kernel.Context) error {
+	partner, err := kernel.Find[chooser](c, control.Balancer)
+	if err != nil {
+		return err
+	}
+	s.chooser = partner
+	s.clock = c.Clock
+	s.start = c.Clock.Now()
+	return nil
+}
+
+// Stop implements kernel.Stopper. It waits for the losers of hedges and closes
+// unused connections; requests have ended with the service that took them.
+func (s *Service) Stop(ctx context.Context) error {
+	defer s.transports.closeIdle()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.background.Wait()
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/service/ingress/fakes_test.go
@@ -0,0 +1,81 @@
+package ingress_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+type fakeConfig struct {
+	snapshot *kernel.Snapshot[*model.Configuration]
+}
+
+func (*fakeConfig) Name() string { return control.Config }
+
+func (f *fakeConfig) Configuration() *kernel.Snapshot[*model.Configuration] { return f.snapshot }
+
+type fakeMembership struct{ members []model.Member }
+
+func (*fakeMembership) Name() string { return control.Membership }
+
+func (f *fakeMembership) ServiceMembers(name model.ServiceName) []model.Member {
+	var found []model.Member
+	for _, m := range f.members {
+		if m.Service == name {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+type fakeTimeline struct {
+	mu     sync.Mutex
+	events []string
+}
+
+func (*fakeTimeline) Name() string { return control.Timeline }
+
+func (f *fakeTimeline) Record(kind timeline.Kind, detail string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events = append(f.events, string(kind)+" "+detail)
+}
+
+type fakeMetrics struct{ scope tally.TestScope }
+
+func (*fakeMetrics) Name() string { return control.Metrics }
+
+func (f *fakeMetrics) Scope() tally.Scope { return f.scope }
+
+type fakeWatchdog struct{ stale atomic.Bool }
+
+func (*fakeWatchdog) Name() string { return control.Watchdog }
+
+func (f *fakeWatchdog) Fresh() bool { return !f.stale.Load() }
+
+// shortDelay is the longest delay that passes at once on a testClock.
+const shortDelay = 250 * time.Millisecond
+
+// testClock stands still, but lets short delays, such as the backoff between
+// attempts, pass at once. Longer ones wait for Advance.
+type testClock struct{ *clock.Fake }
+
+func (c testClock) AfterFunc(d time.Duration, f func()) clock.Timer {
+	if d > shortDelay {
+		return c.Fake.AfterFunc(d, f)
+	}
+	go f()
+	return passedTimer{}
+}
+
+type passedTimer struct{}
+
+func (passedTimer) Stop() bool { return false }
--- /dev/null
+++ b/internal/service/ingress/mesh_test.go
@@ -0,0 +1,149 @@
+package ingress_test
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/service/balancer"
+	"github.com/galenalever/galenalever/internal/service/forward"
+	"github.com/galenalever/galenalever/internal/service/ingress"
+	"github.com/galenalever/galenalever/internal/service/routing"
+)
+
+// mesh is one caller's node with fake partners and fake gates on loopback.
+type mesh struct {
+	t          testing.TB
+	clock      clock.Clock
+	fake       *clock.Fake
+	kernel     *kernel.Kernel
+	config     *fakeConfig
+	membership *fakeMembership
+	watchdog   *fakeWatchdog
+	timeline   *fakeTimeline
+	balancer   *balancer.Service
+	tree       *model.Tree
+	gates      map[string]*fakeGate
+	url        string
+	calls      map[string]chan string
+	cancels    map[string]context.CancelFunc
+	stopped    chan error
+	client     *http.Client
+}
+
+// lockedRandom is a seeded generator for concurrent use.
+type lockedRandom struct {
+	mu  sync.Mutex
+	rng *rand.PCG
+}
+
+func (r *lockedRandom) Uint64() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.Uint64()
+}
+
+func newMesh(t testing.TB) *mesh {
+	fake := clock.NewFake(time.Unix(1_700_000_000, 0))
+	m := &mesh{
+		t: t, clock: testClock{fake}, fake: fake,
+		config:     &fakeConfig{snapshot: kernel.NewSnapshot[*model.Configuration](nil)},
+		membership: &fakeMembership{},
+		watchdog:   &fakeWatchdog{},
+		timeline:   &fakeTimeline{},
+		tree:       &model.Tree{Services: make(map[model.ServiceName]*model.Service)},
+		gates:      make(map[string]*fakeGate),
+		calls:      make(map[string]chan string),
+		cancels:    make(map[string]context.CancelFunc),
+		client:     &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}},
+	}
+	return m
+}
+
+// start brings the node up with the services and gates declared so far.
+func (m *mesh) start() {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	self := model.Self{ID: "caller", Domain: "jkt", Incarnation: 1}
+	random := &lockedRandom{rng: rand.NewPCG(1, 2)}
+	m.balancer = balancer.New(balancer.Config{Self: self, Random: random})
+	m.kernel = kernel.New(m.clock, slog.New(slog.DiscardHandler))
+	err = m.kernel.Register(
+		m.timeline, &fakeMetrics{scope: tally.NewTestScope("", nil)}, m.watchdog, m.config, m.membership,
+		routing.New(), m.balancer, forward.New(forward.Config{Random: random}),
+		ingress.New(ingress.Config{Self: self, Listener: listener}),
+	)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	if err := m.kernel.Start(context.Background()); err != nil {
+		m.t.Fatal(err)
+	}
+	m.url = "http://" + listener.Addr().String()
+	m.t.Cleanup(m.stop)
+}
+
+func (m *mesh) stop() {
+	m.client.CloseIdleConnections()
+	for _, g := range m.gates {
+		_ = g.server.Close()
+	}
+	if m.stopped != nil {
+		return
+	}
+	if err := m.kernel.Stop(context.Background()); err != nil {
+		m.t.Error(err)
+	}
+}
+
+// publish puts the tree in force and waits until the control loop has handled
+// it.
+func (m *mesh) publish() {
+	m.config.snapshot.Store(&model.Configuration{Tree: m.tree})
+	m.post(control.ConfigurationChanged{Configuration: m.config.snapshot.Load()})
+}
+
+// settled is handled behind every message posted before it.
+type settled struct{ done chan struct{} }
+
+func (settled) MessageName() string { return "settled" }
+
+// Provision implements kernel.Provisioner.
+func (f *fakeMembership) Provision(c *kernel.Context) error {
+	kernel.Subscribe(c.Loop, func(m settled) { close(m.done) })
+	return nil
+}
+
+// post sends a message to the control loop and waits until it was handled.
+func (m *mesh) post(message kernel.Message) {
+	last := settled{done: make(chan struct{})}
+	for _, next := range []kernel.Message{message, last} {
+		if err := m.kernel.Loop().Post(context.Background(), next); err != nil {
+			m.t.Fatal(err)
+		}
+	}
+	<-last.done
+}
+
+// changeMember replaces the record of a gate.
+func (m *mesh) changeMember(name string, change func(*model.Member)) {
+	for i := range m.membership.members {
+		if string(m.membership.members[i].ID) == name {
+			change(&m.membership.members[i])
+			m.post(control.MembersChanged{Changed: m.membership.members[i : i+1]})
+		}
+	}
+}
--- /dev/null
+++ b/internal/service/ingress/metrics.go
@@ -0,0 +1,54 @@
+package ingress
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// metrics counts requests by route, outcome and reason.
+type metrics struct {
+	scope  tally.Scope
+	series sync.Map // seriesKey -> *series
+}
+
+type seriesKey struct {
+	team    model.TeamName
+	route   string
+	outcome model.Outcome
+	reason  model.Reason
+}
+
+type series struct {
+	requests tally.Counter
+	duration tally.Histogram
+}
+
+// durationBuckets span 250 microseconds to 65 seconds.
+var durationBuckets = tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 19)
+
+// count adds one request. The route is nil if none was found.
+func (m *metrics) count(rt *model.Route, outcome model.Outcome, reason model.Reason, took time.Duration) {
+	key := seriesKey{outcome: outcome, reason: reason}
+	if rt != nil {
+		key.team, key.route = rt.Team, rt.Name
+	}
+	found, ok := m.series.Load(key)
+	if !ok {
+		found, _ = m.series.LoadOrStore(key, m.newSeries(key))
+	}
+	s := found.(*series)
+	s.requests.Inc(1)
+	s.duration.RecordDuration(took)
+}
+
+func (m *metrics) newSeries(key seriesKey) *series {
+	scope := m.scope.Tagged(map[string]string{
+		"team": string(key.team), "route": key.route,
+		"outcome": key.outcome.String(), "reason": string(key.reason),
+	})
+	return &series{requests: scope.Counter("requests"), duration: scope.Histogram("duration", durationBuckets)}
+}
--- /dev/null
+++ b/internal/service/ingress/refusal.go
@@ -0,0 +1,103 @@
+package ingress
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/call"
+	"github.com/galenalever/galenalever/internal/decision/route"
+	"github.com/galenalever/galenalever/internal/hop"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// Reasons that only this service gives.
+const (
+	reasonUpgrade model.Reason = "upgrade-not-supported" // the caller asked for another protocol
+	reasonInvalid model.Reason = "invalid-request"       // a malformed path, header or body
+	reasonSlow    model.Reason = "slow-request"          // the body came too slowly
+)
+
+// statusClientClosed is recorded when the caller went away. No caller sees it.
+const statusClientClosed = 499
+
+// refusal is an answer that no backend server gave.
+type refusal struct {
+	status     int
+	outcome    model.Outcome
+	reason     model.Reason
+	retryAfter time.Duration
+	// allow lists the methods for status 405.
+	allow string
+}
+
+func notRun(status int, reason model.Reason) *refusal {
+	return &refusal{status: status, outcome: model.OutcomeNotRun, reason: reason}
+}
+
+// refusalOf returns what a caller is told of a request without an answer.
+func refusalOf(a *call.Answer, body *call.Body) refusal {
+	r := refusal{outcome: a.Outcome, reason: a.Reason, retryAfter: a.RetryAfter}
+	if errors.Is(body.Err(), os.ErrDeadlineExceeded) {
+		r.reason = reasonSlow
+	}
+	r.status = statusOf(r.outcome, r.reason)
+	return r
+}
+
+// statusOf returns the HTTP status of a request without an answer.
+func statusOf(outcome model.Outcome, reason model.Reason) int {
+	switch reason {
+	case model.ReasonQuarantined:
+		return http.StatusUnprocessableEntity
+	case model.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case reasonSlow:
+		return http.StatusRequestTimeout
+	case model.ReasonCancelled:
+		return statusClientClosed
+	case model.ReasonDuplicate:
+		return http.StatusConflict
+	}
+	switch {
+	case outcome == model.OutcomeNotRun:
+		return http.StatusServiceUnavailable
+	case reason == model.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// defaultRetryAfter is told to callers of a request that was not run, when no
+// gate gave a delay.
+const defaultRetryAfter = time.Second
+
+// refuse answers a request that has no answer of a server.
+func (s *Service) refuse(w http.ResponseWriter, match route.Match, r refusal, begin time.Time) {
+	s.metrics.count(match.Route, r.outcome, r.reason, s.clock.Now().Sub(begin))
+	h := w.Header()
+	h.Set(hop.HeaderOutcome, r.outcome.String())
+	h.Set(hop.HeaderReason, string(r.reason))
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Cache-Control", "no-store")
+	if r.allow != "" {
+		h.Set("Allow", r.allow)
+	}
+	if r.status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", seconds(r.retryAfter))
+	}
+	w.WriteHeader(r.status)
+	fmt.Fprintf(w, "outcome: %s\nreason: %s\n", r.outcome, r.reason)
+}
+
+// seconds rounds a delay up to whole seconds, as Retry-After wants it.
+func seconds(d time.Duration) string {
+	if d <= 0 {
+		d = defaultRetryAfter
+	}
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
--- /dev/null
+++ b/internal/service/ingress/scenario_test.go
@@ -0,0 +1,248 @@
+package ingress_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// TestScenarios runs testdata/*: one caller's node with fake gates. Each file
+// begins with the mesh (service, route, gate, start); then calls follow.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		m := newMesh(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			m.t = t
+			run, ok := commands[d.Cmd]
+			if !ok {
+				d.Fatalf(t, "unknown command %q", d.Cmd)
+			}
+			return run(m, d)
+		})
+	})
+}
+
+var commands map[string]func(*mesh, *datadriven.TestData) string
+
+func init() {
+	commands = map[string]func(*mesh, *datadriven.TestData) string{
+		"service":  (*mesh).cmdService,
+		"route":    (*mesh).cmdRoute,
+		"gate":     (*mesh).cmdGate,
+		"start":    func(m *mesh, _ *datadriven.TestData) string { m.start(); return "" },
+		"publish":  func(m *mesh, _ *datadriven.TestData) string { m.publish(); return "" },
+		"script":   (*mesh).cmdScript,
+		"call":     func(m *mesh, d *datadriven.TestData) string { return m.call(context.Background(), d) },
+		"begin":    (*mesh).cmdBegin,
+		"finish":   func(m *mesh, d *datadriven.TestData) string { return <-m.calls[text(m, d, "id", "")] },
+		"cancel":   func(m *mesh, d *datadriven.TestData) string { m.cancels[text(m, d, "id", "")](); return "" },
+		"stopped":  func(m *mesh, _ *datadriven.TestData) string { return fmt.Sprint(<-m.stopped) },
+		"held":     func(m *mesh, d *datadriven.TestData) string { <-m.gate(d).held; return "" },
+		"release":  func(m *mesh, d *datadriven.TestData) string { m.gate(d).free <- struct{}{}; return "" },
+		"advance":  (*mesh).cmdAdvance,
+		"presence": (*mesh).cmdPresence,
+		"ledger":   (*mesh).cmdLedger,
+		"stop":     (*mesh).cmdStop,
+		"watchdog": (*mesh).cmdWatchdog,
+		"events":   func(m *mesh, _ *datadriven.TestData) string { return strings.Join(m.timeline.events, "\n") },
+	}
+}
+
+func text(m *mesh, d *datadriven.TestData, key, fallback string) string {
+	d.MaybeScanArgs(m.t.(*testing.T), key, &fallback)
+	return fallback
+}
+
+func number(m *mesh, d *datadriven.TestData, key string, fallback int) int {
+	d.MaybeScanArgs(m.t.(*testing.T), key, &fallback)
+	return fallback
+}
+
+func duration(m *mesh, d *datadriven.TestData, key, fallback string) time.Duration {
+	v, err := time.ParseDuration(text(m, d, key, fallback))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return v
+}
+
+func (m *mesh) gate(d *datadriven.TestData) *fakeGate {
+	g, ok := m.gates[text(m, d, "gate", "")]
+	if !ok {
+		d.Fatalf(m.t.(*testing.T), "unknown gate")
+	}
+	return g
+}
+
+func (m *mesh) cmdService(d *datadriven.TestData) string {
+	name := model.ServiceName(text(m, d, "name", ""))
+	m.tree.Services[name] = &model.Service{
+		Name: name, Slots: number(m, d, "slots", 6), Queue: number(m, d, "queue", 12),
+	}
+	return ""
+}
+
+func (m *mesh) cmdRoute(d *datadriven.TestData) string {
+	r := &model.Route{
+		Team: "shop", Name: text(m, d, "name", ""), PathPrefix: text(m, d, "path", "/"),
+		Service: model.ServiceName(text(m, d, "service", "")), Idempotent: d.HasArg("idempotent"),
+		Class: model.ClassShort, Deadline: duration(m, d, "deadline", "30s"),
+		MaxBody: int64(number(m, d, "max-body", 1<<20)),
+		Retry:   model.Retry{Attempts: number(m, d, "attempts", 3), BudgetPercent: number(m, d, "budget", 20)},
+		Hedge: model.Hedge{
+			After: duration(m, d, "hedge", "0s"), BudgetPercent: number(m, d, "hedge-budget", 10),
+		},
+	}
+	if methods := text(m, d, "methods", ""); methods != "" {
+		r.Methods = strings.Split(methods, "+")
+	}
+	m.tree.Routes = append(m.tree.Routes, r)
+	return ""
+}
+
+func (m *mesh) cmdGate(d *datadriven.TestData) string {
+	name := text(m, d, "name", "")
+	incarnation := model.Incarnation(number(m, d, "incarnation", 7))
+	address := "127.0.0.1:1" // nothing listens there
+	if !d.HasArg("down") {
+		g, err := newFakeGate(name, incarnation)
+		if err != nil {
+			m.t.Fatal(err)
+		}
+		m.gates[name] = g
+		address = g.listener.Addr().String()
+	}
+	m.membership.members = append(m.membership.members, model.Member{
+		ID: model.InstanceID(name), Service: model.ServiceName(text(m, d, "service", "")),
+		Domain:    model.FailureDomain(text(m, d, "domain", "jkt")),
+		Addresses: model.Addresses{Traffic: address},
+		Announced: model.Announcement{Incarnation: incarnation, Presence: model.PresenceReady},
+	})
+	return ""
+}
+
+func (m *mesh) cmdScript(d *datadriven.TestData) string {
+	g := m.gate(d)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.script = strings.Split(d.Input, "\n")
+	return ""
+}
+
+func (m *mesh) cmdBegin(d *datadriven.TestData) string {
+	id := text(m, d, "id", "")
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancels[id] = cancel
+	m.calls[id] = make(chan string, 1)
+	copied := *d
+	go func() { m.calls[id] <- m.call(ctx, &copied) }()
+	return ""
+}
+
+func (m *mesh) cmdAdvance(d *datadriven.TestData) string {
+	m.fake.Advance(duration(m, d, "by", "0s"))
+	return ""
+}
+
+func (m *mesh) cmdPresence(d *datadriven.TestData) string {
+	m.changeMember(text(m, d, "gate", ""), func(member *model.Member) {
+		member.Announced.Incarnation = model.Incarnation(number(m, d, "incarnation", 7))
+		if d.HasArg("leaving") {
+			member.Announced.Presence = model.PresenceLeaving
+		}
+	})
+	return ""
+}
+
+func (m *mesh) cmdLedger(*datadriven.TestData) string {
+	var lines []string
+	for name, g := range m.gates {
+		g.mu.Lock()
+		for _, entry := range g.ledger {
+			lines = append(lines, name+": "+entry)
+		}
+		g.ledger = nil
+		g.mu.Unlock()
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "\n")
+}
+
+// cmdStop begins the shutdown of the node and waits until it refuses new
+// connections.
+func (m *mesh) cmdStop(*datadriven.TestData) string {
+	m.stopped = make(chan error, 1)
+	go func() { m.stopped <- m.kernel.Stop(context.Background()) }()
+	for {
+		response, err := http.Get(m.url) //nolint:noctx
+		if err != nil {
+			return ""
+		}
+		_ = response.Body.Close()
+	}
+}
+
+func (m *mesh) cmdWatchdog(d *datadriven.TestData) string {
+	m.watchdog.stale.Store(d.HasArg("stale"))
+	return ""
+}
+
+// call sends a caller's request and describes what the caller sees.
+func (m *mesh) call(ctx context.Context, d *datadriven.TestData) string {
+	size := number(m, d, "body", 0)
+	var body io.Reader = http.NoBody
+	if size > 0 {
+		body = strings.NewReader(strings.Repeat("x", size))
+	}
+	if d.HasArg("chunked") {
+		body = struct{ io.Reader }{body}
+	}
+	r, err := http.NewRequestWithContext(ctx, text(m, d, "method", "GET"), m.url+text(m, d, "path", "/"), body)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	for line := range strings.Lines(d.Input) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		r.Header.Add(name, value)
+	}
+	response, err := m.client.Do(r)
+	if err != nil {
+		return "no answer: " + cause(err)
+	}
+	defer response.Body.Close()
+	return describe(response)
+}
+
+func describe(response *http.Response) string {
+	var b strings.Builder
+	b.WriteString(strconv.Itoa(response.StatusCode))
+	for _, name := range []string{"Galena-Outcome", "Galena-Reason", "Retry-After", "Allow", "Galena-Secret"} {
+		if value := response.Header.Get(name); value != "" {
+			fmt.Fprintf(&b, " %s=%s", strings.ToLower(name), value)
+		}
+	}
+	body, err := io.ReadAll(response.Body)
+	if response.StatusCode == http.StatusOK {
+		fmt.Fprintf(&b, "\n%s", body)
+	}
+	if err != nil {
+		fmt.Fprintf(&b, "\nbroken: %s", cause(err))
+	}
+	return b.String()
+}
+
+// cause returns the innermost message of an error, without addresses.
+func cause(err error) string {
+	message := err.Error()
+	return message[strings.LastIndex(message, ": ")+1:]
+}
--- /dev/null
+++ b/internal/service/ingress/service.go
@@ -0,0 +1,146 @@
+// Package ingress is the service that takes callers' HTTP requests. It checks
+// and routes them, has them forwarded, and tells the caller the answer, or
+// whether the request ran.
+package ingress
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/galenalever/galenalever/internal/call"
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/route"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+const (
+	// headerTimeout bounds the time in which a caller sends its header.
+	headerTimeout = 10 * time.Second
+	// maxHeaderBytes bounds the header of a request; beyond it net/http answers
+	// 431.
+	maxHeaderBytes = 64 << 10
+	// idleTimeout closes unused connections of callers.
+	idleTimeout = 90 * time.Second
+	// bodyIdleTimeout bounds the time between two pieces of a body.
+	bodyIdleTimeout = 15 * time.Second
+)
+
+// The partners of the service.
+type (
+	tableSource interface {
+		Table() *kernel.Snapshot[*route.Table]
+	}
+	forwarder interface {
+		Forward(ctx context.Context, q *call.Request) *call.Answer
+	}
+	scopeSource interface {
+		Scope() tally.Scope
+	}
+	freshness interface {
+		// Fresh reports whether the process has not been paused since it last
+		// synchronised.
+		Fresh() bool
+	}
+)
+
+// Config is what the service needs to know.
+type Config struct {
+	Self model.Self
+	// Listener accepts callers' connections. The service closes it.
+	Listener net.Listener
+}
+
+// Service serves callers.
+type Service struct {
+	config    Config
+	clock     clock.Clock
+	log       *slog.Logger
+	table     *kernel.Snapshot[*route.Table]
+	forwarder forwarder
+	watchdog  freshness // nil if the node has none
+	metrics   metrics
+	server    *http.Server
+	served    chan error
+	idPrefix  string
+	lastID    atomic.Uint64
+}
+
+// New returns the service.
+func New(config Config) *Service {
+	const base = 36
+	return &Service{
+		config:   config,
+		idPrefix: string(config.Self.ID) + "-" + strconv.FormatUint(uint64(config.Self.Incarnation), base) + "-",
+	}
+}
+
+// Name implements kernel.Service.
+func (*Service) Name() string { return control.Ingress }
+
+// Provision implements kernel.Provisioner.
+func (s *Service) Provision(c *kernel.Context) error {
+	routing, err := kernel.Find[tableSource](c, control.Routing)
+	if err != nil {
+		return err
+	}
+	s.forwarder, err = kernel.Find[forwarder](c, control.Forward)
+	if err != nil {
+		return err
+	}
+	scopes, err := kernel.Find[scopeSource](c, control.Metrics)
+	if err != nil {
+		return err
+	}
+	if watchdog, err := kernel.Find[freshness](c, control.Watchdog); err == nil {
+		s.watchdog = watchdog
+	}
+	s.table = routing.Table()
+	s.metrics.scope = scopes.Scope().SubScope("ingress")
+	s.clock = c.Clock
+	s.log = c.Log
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (s *Service) Start(context.Context) error {
+	router := chi.NewRouter()
+	router.Handle("/*", http.HandlerFunc(s.serve))
+	router.MethodNotAllowed(s.serve) // methods that chi does not know
+	router.NotFound(s.serve)         // a target that is not a path
+	s.server = &http.Server{
+		Handler:           router,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
+	}
+	s.served = make(chan error, 1)
+	go func() { s.served <- s.server.Serve(s.config.Listener) }()
+	return nil
+}
+
+// Stop implements kernel.Stopper. It closes the listener, tells callers to
+// close their connections and waits for the running requests.
+func (s *Service) Stop(ctx context.Context) error {
+	s.server.SetKeepAlivesEnabled(false)
+	err := s.server.Shutdown(ctx)
+	<-s.served
+	return err
+}
+
+// nextID returns an ID that no other request in the mesh has: it contains the
+// instance and the start time of the process.
+func (s *Service) nextID() model.RequestID {
+	const base = 36
+	return model.RequestID(s.idPrefix + strconv.FormatUint(s.lastID.Add(1), base))
+}
