--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -13,6 +13,7 @@
 	Version  kong.VersionFlag `help:"Print the version."`
 	Status   statusCommand    `cmd:"" help:"Show what each node knows and runs."`
 	Timeline timelineCommand  `cmd:"" help:"Merge the events of all nodes in order."`
+	Runbook  runbookCommand   `cmd:"" help:"Check, plan and run a procedure of the old tool."`
 }
 
 // Main runs one command and returns the exit code.
--- a/internal/service/operator/operator.go
+++ b/internal/service/operator/operator.go
@@ -90,6 +90,7 @@
 	if source, err := kernel.Find[configurationSource](c, control.Config); err == nil {
 		s.configuration = source
 	}
+	s.Handle(status.PathSubtree, http.HandlerFunc(s.serveSubtree))
 	return nil
 }
 
--- a/internal/service/operator/pages.go
+++ b/internal/service/operator/pages.go
@@ -43,7 +43,15 @@
 }
 
 func (s *Service) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	body, err := json.Marshal(s.report())
+	serveJSON(w, s.report())
+}
+
+func (s *Service) serveSubtree(w http.ResponseWriter, r *http.Request) {
+	serveJSON(w, status.NewSubtree(s.current(), model.Key(r.URL.Query().Get("key"))))
+}
+
+func serveJSON(w http.ResponseWriter, value any) {
+	body, err := json.Marshal(value)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
