--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -36,6 +36,14 @@
 	Peer string
 }
 
+// String returns the origin for logs and the time line.
+func (o Origin) String() string {
+	if o.Platform {
+		return "platform"
+	}
+	return o.Peer
+}
+
 // CutReceived carries a complete cut read from the platform.
 // Sent by source, handled by config.
 type CutReceived struct {
@@ -108,6 +116,31 @@
 // MessageName implements kernel.Message.
 func (PresenceChanged) MessageName() string { return "presence-changed" }
 
+// ReadScope is what a node reads from the platform.
+type ReadScope uint8
+
+const (
+	// ReadNothing is for a node that polls an upstream.
+	ReadNothing ReadScope = iota
+	// ReadInstances is for a fresh process that found no peer: with the list of
+	// instances it learns its rank and whom to ask.
+	ReadInstances
+	// ReadAll is for a reader of its failure domain.
+	ReadAll
+)
+
+// ReadScopeChanged tells what this node should read from the platform.
+// Emitted by exchange, handled by source.
+type ReadScopeChanged struct {
+	Scope ReadScope
+	// Place is the number of readers of the failure domain that read before
+	// this one.
+	Place int
+}
+
+// MessageName implements kernel.Message.
+func (ReadScopeChanged) MessageName() string { return "read-scope-changed" }
+
 // Paused tells that the process did not run for Gap. Services that hold leases
 // or beliefs about others treat them as expired.
 // Sent by watchdog.
--- a/internal/decision/members/merge.go
+++ b/internal/decision/members/merge.go
@@ -34,3 +34,13 @@
 func Departed(m model.Member) bool {
 	return m.Announced.Presence == model.PresenceGone || m.Listed == model.ListingRemoved
 }
+
+// Reassert returns the announcement by which a process overrules another one
+// about its own instance, such as one of an earlier process whose clock was
+// ahead.
+func Reassert(own, heard model.Announcement) model.Announcement {
+	if heard.Supersedes(own) {
+		own.Incarnation = heard.Incarnation + 1
+	}
+	return own
+}
--- a/internal/decision/rank/upstream.go
+++ b/internal/decision/rank/upstream.go
@@ -19,7 +19,10 @@
 type Role struct {
 	// Reader is true if the node reads the platform.
 	Reader bool
-	// Upstream is the node to poll; its ID is empty for a reader.
+	// Place is the number of readers that come before a reader. They read
+	// first, so that the others find the news at their upstream.
+	Place int
+	// Upstream is the node to poll; its ID is empty for the first reader.
 	Upstream model.Member
 }
 
@@ -28,8 +31,8 @@
 // upstream is kept while it is near the ideal position.
 func Decide(view *members.View, self model.Self, current model.InstanceID, excluded Excluded) Role {
 	candidates := before(view, self)
-	if usable(candidates, excluded) < Readers {
-		return Role{Reader: true}
+	if n := usable(candidates, excluded); n < Readers {
+		return Role{Reader: true, Place: n, Upstream: first(candidates, excluded)}
 	}
 	ideal := parent(len(candidates))
 	if kept := keep(candidates, ideal, current); kept != nil && !excluded(kept.ID) {
@@ -52,6 +55,16 @@
 	return n
 }
 
+// first returns the first usable candidate, or a member without an ID.
+func first(candidates []*model.Member, excluded Excluded) model.Member {
+	for _, m := range candidates {
+		if !excluded(m.ID) {
+			return *m
+		}
+	}
+	return model.Member{}
+}
+
 func keep(candidates []*model.Member, ideal int, current model.InstanceID) *model.Member {
 	if current == "" {
 		return nil
--- /dev/null
+++ b/internal/decision/reading/instances.go
@@ -0,0 +1,28 @@
+package reading
+
+import (
+	"github.com/galenalever/galenalever/internal/decision/members"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// Absent returns removal records for the instances that the platform listed
+// before and that a complete listing no longer holds.
+func Absent(view *members.View, revision model.Revision, complete []model.Member) []model.Member {
+	present := make(map[model.InstanceID]struct{}, len(complete))
+	for _, m := range complete {
+		present[m.ID] = struct{}{}
+	}
+	var removed []model.Member
+	for _, known := range view.All() {
+		if _, ok := present[known.ID]; ok || !wasListed(known, revision) {
+			continue
+		}
+		known.Listed, known.ListedAt = model.ListingRemoved, revision
+		removed = append(removed, known)
+	}
+	return removed
+}
+
+func wasListed(m model.Member, before model.Revision) bool {
+	return m.ListedAt > 0 && m.ListedAt < before && m.Listed != model.ListingRemoved
+}
--- /dev/null
+++ b/internal/distribution/distribution_test.go
@@ -0,0 +1,225 @@
+package distribution
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// step is how often a condition is checked, in simulated time.
+const step = 50 * time.Millisecond
+
+// TestScenarios runs each file of testdata as a script. All nodes live in one
+// bubble of synctest, so the time is simulated.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &script{t: t, rng: rand.New(rand.NewPCG(1, 2))}
+			datadriven.RunTest(t, path, s.run)
+			s.mesh.stopAll()
+		})
+	})
+}
+
+type script struct {
+	t    *testing.T
+	rng  *rand.Rand
+	mesh *mesh
+}
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "mesh":
+		return s.start(d)
+	case "publish":
+		return s.publish(d)
+	case "run":
+		time.Sleep(duration(t, d, "for"))
+	case "kill":
+		return s.kill(d)
+	case "restart":
+		return s.restart()
+	case "part":
+		s.setParted(d, true)
+	case "heal":
+		s.setParted(d, false)
+	case "platform":
+		s.setPlatform(d)
+	case "leave":
+		return s.leave(d)
+	case "converged":
+		return s.converged(d)
+	case "absent":
+		return s.absent(d)
+	case "check":
+		return s.check(d)
+	default:
+		d.Fatalf(t, "unknown command %q", d.Cmd)
+	}
+	return ""
+}
+
+func duration(t *testing.T, d *datadriven.TestData, key string) time.Duration {
+	var text string
+	d.ScanArgs(t, key, &text)
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+	return parsed
+}
+
+func (s *script) start(d *datadriven.TestData) string {
+	var count, limit, values int
+	var names string
+	d.ScanArgs(s.t, "nodes", &count)
+	d.ScanArgs(s.t, "domains", &names)
+	d.ScanArgs(s.t, "limit", &limit)
+	d.ScanArgs(s.t, "values", &values)
+	var domains []model.FailureDomain
+	for name := range strings.SplitSeq(names, "+") {
+		domains = append(domains, model.FailureDomain(name))
+	}
+	s.mesh = newMesh(domains, limit)
+	for i := range values {
+		s.mesh.publish(teamKey(i))
+	}
+	s.mesh.fill(count)
+	return ""
+}
+
+func teamKey(i int) model.Key { return model.TeamKey(model.TeamName(fmt.Sprintf("team-%d", i))) }
+
+func (s *script) publish(d *datadriven.TestData) string {
+	count := 1
+	d.MaybeScanArgs(s.t, "count", &count)
+	for i := range count {
+		if i > 0 {
+			time.Sleep(duration(s.t, d, "every"))
+		}
+		s.mesh.publish(teamKey(s.rng.IntN(len(s.mesh.platform.values))))
+	}
+	return ""
+}
+
+// kill ends a random half of all nodes, or all nodes of a domain.
+func (s *script) kill(d *datadriven.TestData) string {
+	var domain string
+	d.MaybeScanArgs(s.t, "domain", &domain)
+	victims := s.rng.Perm(len(s.mesh.nodes))[:len(s.mesh.nodes)/2]
+	if domain != "" {
+		victims = nil
+		for i, n := range s.mesh.nodes {
+			if string(n.self.Domain) == domain {
+				victims = append(victims, i)
+			}
+		}
+	}
+	for _, i := range victims {
+		s.mesh.nodes[i].kill()
+	}
+	return fmt.Sprintf("%d killed", len(victims))
+}
+
+func (s *script) restart() string {
+	count := 0
+	for i, n := range s.mesh.nodes {
+		if !n.alive() {
+			s.mesh.start(i)
+			count++
+		}
+	}
+	return fmt.Sprintf("%d started", count)
+}
+
+func (s *script) setParted(d *datadriven.TestData, parted bool) {
+	var domain string
+	d.ScanArgs(s.t, "domain", &domain)
+	s.mesh.mu.Lock()
+	defer s.mesh.mu.Unlock()
+	s.mesh.cut[model.FailureDomain(domain)] = parted
+}
+
+func (s *script) setPlatform(d *datadriven.TestData) {
+	s.mesh.mu.Lock()
+	defer s.mesh.mu.Unlock()
+	p := s.mesh.platform
+	p.outage, p.stale = d.HasArg("outage"), 0
+	if d.HasArg("stale") {
+		var behind int
+		d.ScanArgs(s.t, "stale", &behind)
+		p.stale = p.revision - model.Revision(behind)
+	}
+	p.notify()
+}
+
+func (s *script) leave(d *datadriven.TestData) string {
+	n := s.mesh.nodes[len(s.mesh.nodes)-1]
+	n.kernel.Loop().TryPost(control.PresenceChanged{Presence: model.PresenceLeaving})
+	return string(n.self.ID)
+}
+
+// within waits until a count is 0 and reports the rest.
+func (s *script) within(d *datadriven.TestData, what string, count func() int) string {
+	limit := duration(s.t, d, "within")
+	begin := time.Now()
+	for count() > 0 && time.Since(begin) < limit {
+		time.Sleep(step)
+	}
+	rest := count()
+	s.t.Logf("%s: %s after %s, %d left", d.Pos, what, time.Since(begin), rest)
+	if rest > 0 {
+		return fmt.Sprintf("%d nodes are not", rest)
+	}
+	return "all nodes"
+}
+
+func (s *script) converged(d *datadriven.TestData) string {
+	return s.within(d, "converged", s.mesh.lagging)
+}
+
+// absent waits until no node takes the instance for present.
+func (s *script) absent(d *datadriven.TestData) string {
+	var id string
+	d.ScanArgs(s.t, "instance", &id)
+	return s.within(d, "absent", func() int {
+		count := 0
+		for _, n := range s.mesh.nodes {
+			known, ok := n.membership.View().Load().Get(model.InstanceID(id))
+			if n.alive() && (!ok || known.Present()) {
+				count++
+			}
+		}
+		return count
+	})
+}
+
+func (s *script) check(d *datadriven.TestData) string {
+	s.mesh.mu.Lock()
+	defer s.mesh.mu.Unlock()
+	p := s.mesh.platform
+	var each []uint64
+	for _, n := range s.mesh.perNode {
+		each = append(each, n)
+	}
+	slices.Sort(each)
+	s.t.Logf("%s: highest platform rate %d/s, refused %d; control bytes per node: median %d, highest %d",
+		d.Pos, p.highest, p.refused, each[len(each)/2], each[len(each)-1])
+	out := fmt.Sprintf("reverted: %d\n", len(s.mesh.reverted))
+	for _, r := range s.mesh.reverted {
+		out += r + "\n"
+	}
+	over := p.highest > p.limit
+	p.highest, p.refused = 0, 0
+	clear(s.mesh.perNode)
+	return out + fmt.Sprintf("platform over its limit: %t", over)
+}
--- /dev/null
+++ b/internal/distribution/mesh_test.go
@@ -0,0 +1,140 @@
+package distribution
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/service/source"
+)
+
+// mesh is all nodes, the network and the platform.
+type mesh struct {
+	domains []model.FailureDomain
+	seeds   []string
+
+	mu       sync.Mutex
+	platform *platform
+	nodes    []*node
+	byAddr   map[string]*node
+	// cut holds the domains that are parted from all others.
+	cut map[model.FailureDomain]bool
+	// last is the newest revision that each instance has run, in any process.
+	last     map[model.InstanceID]model.Revision
+	reverted []string
+	bytes    uint64
+	perNode  map[model.InstanceID]uint64
+	lives    uint64
+}
+
+func newMesh(domains []model.FailureDomain, limit int) *mesh {
+	return &mesh{
+		domains:  domains,
+		platform: newPlatform(limit),
+		byAddr:   make(map[string]*node),
+		cut:      make(map[model.FailureDomain]bool),
+		last:     make(map[model.InstanceID]model.Revision),
+		perNode:  make(map[model.InstanceID]uint64),
+	}
+}
+
+// fill starts the nodes of a mesh. The first node of each domain is a seed.
+func (m *mesh) fill(count int) {
+	for i := range count {
+		domain := m.domains[i%len(m.domains)]
+		self := identity(i, domain)
+		if i < len(m.domains) {
+			m.seeds = append(m.seeds, self.Addresses.Control)
+		}
+		m.platform.listed++
+		listed := self.Member(model.PresenceUnknown)
+		listed.Announced = model.Announcement{}
+		listed.Listed, listed.ListedAt = model.ListingLive, m.platform.listed
+		m.platform.instances = append(m.platform.instances, listed)
+		m.nodes = append(m.nodes, &node{self: self, dead: make(chan struct{})})
+	}
+	for i := range m.nodes {
+		m.start(i)
+	}
+}
+
+func identity(i int, domain model.FailureDomain) model.Self {
+	id := fmt.Sprintf("node-%03d", i)
+	return model.Self{
+		ID: model.InstanceID(id), Service: "katalog/katalog", Domain: domain,
+		Addresses: model.Addresses{Control: id + ":1", Traffic: id + ":2", Operator: id + ":3"},
+	}
+}
+
+// start runs a new process for an instance.
+func (m *mesh) start(i int) {
+	self := m.nodes[i].self
+	m.lives++
+	self.Incarnation = model.Incarnation(time.Now().UnixMilli())
+	n := startNode(m, self, m.lives)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nodes[i] = n
+	m.byAddr[self.Addresses.Control] = n
+}
+
+func (m *mesh) stopAll() {
+	for _, n := range m.nodes {
+		if n.alive() {
+			n.kill()
+		}
+	}
+}
+
+func (m *mesh) nodeAt(address string) *node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := m.byAddr[address]
+	if n == nil || !n.alive() {
+		return nil
+	}
+	return n
+}
+
+func (m *mesh) observe(id model.InstanceID, revision model.Revision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision < m.last[id] {
+		m.reverted = append(m.reverted, fmt.Sprintf("%s from %d to %d", id, m.last[id], revision))
+	}
+	m.last[id] = max(m.last[id], revision)
+}
+
+func (m *mesh) countBytes(a, b *node, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.bytes += uint64(n)
+	m.perNode[a.self.ID] += uint64(n)
+	m.perNode[b.self.ID] += uint64(n)
+}
+
+// publish stores one value and returns the new revision.
+func (m *mesh) publish(key model.Key) model.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.platform
+	p.revision++
+	p.values[key] = source.Value{Key: key, Revision: p.revision, Text: fmt.Appendf(nil, "%s at %d", key, p.revision)}
+	p.notify()
+	return p.revision
+}
+
+// lagging counts the live nodes that do not run the newest revision.
+func (m *mesh) lagging() int {
+	m.mu.Lock()
+	newest := m.platform.revision
+	m.mu.Unlock()
+	count := 0
+	for _, n := range m.nodes {
+		if n.alive() && n.revision() != newest {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/model/member.go
+++ b/internal/model/member.go
@@ -48,6 +48,20 @@
 	ListingRemoved
 )
 
+// String returns the name used in status pages and logs.
+func (l Listing) String() string {
+	switch l {
+	case ListingLive:
+		return "live"
+	case ListingLeaving:
+		return "leaving"
+	case ListingRemoved:
+		return "removed"
+	default:
+		return "unknown"
+	}
+}
+
 // Addresses are the host:port pairs of one node.
 type Addresses struct {
 	// Traffic takes requests from other nodes.
--- /dev/null
+++ b/internal/service/exchange/bootstrap.go
@@ -0,0 +1,81 @@
+package exchange
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/decision/rank"
+)
+
+const (
+	// bootstrapPeers is the number of nodes that a fresh process asks in one
+	// attempt.
+	bootstrapPeers = 3
+	// bootstrapRetryMin and bootstrapRetryMax bound the random pause between
+	// two attempts.
+	bootstrapRetryMin = 150 * time.Millisecond
+	bootstrapRetryMax = 450 * time.Millisecond
+	// firstReadSpread is the time over which the seeds of a mesh that starts
+	// from nothing begin to read the platform.
+	firstReadSpread = 200 * time.Millisecond
+	// laterReadSpread is the time over which all others do, if no seed has
+	// answered until then: 21,000 nodes make 1,750 calls a second.
+	laterReadSpread = 12 * time.Second
+)
+
+// runBootstrap asks other nodes for their state until this node has one.
+func (s *Service) runBootstrap(ctx context.Context) {
+	rng := s.random("bootstrap")
+	s.clock.AfterFunc(s.bootstrapTime(rng), func() { _ = s.loop.Post(ctx, bootstrapOver{}) })
+	for ctx.Err() == nil && !s.hasConfiguration() {
+		for _, p := range s.bootstrapCandidates(rng) {
+			if s.poll(ctx, p, question{bootstrap: true}) == nil {
+				break
+			}
+		}
+		pause := bootstrapRetryMin + time.Duration(rng.Int64N(int64(bootstrapRetryMax-bootstrapRetryMin)))
+		_ = clock.Wait(ctx, s.clock, pause)
+	}
+}
+
+func (s *Service) hasConfiguration() bool {
+	state := s.states.Load()
+	return state != nil && state.Cut.Revision > 0
+}
+
+// bootstrapTime returns how long the node asks others only. Seeds come first,
+// because in a mesh that starts from nothing all others ask them.
+func (s *Service) bootstrapTime(rng *rand.Rand) time.Duration {
+	if len(s.otherSeeds()) == 0 {
+		return 0
+	}
+	spread := laterReadSpread
+	if slices.Contains(s.config.Seeds, s.config.Self.Addresses.Control) {
+		spread = firstReadSpread
+	}
+	return s.config.BootstrapFor + time.Duration(rng.Int64N(int64(spread)))
+}
+
+func (s *Service) otherSeeds() []string {
+	own := s.config.Self.Addresses.Control
+	return slices.DeleteFunc(slices.Clone(s.config.Seeds), func(a string) bool { return a == own })
+}
+
+// bootstrapCandidates returns random nodes among the seeds and those that
+// refusals have named.
+func (s *Service) bootstrapCandidates(rng *rand.Rand) []peer {
+	var out []peer
+	for _, address := range s.otherSeeds() {
+		out = append(out, peer{address: address})
+	}
+	for _, m := range s.members.Load().All() {
+		if m.ID != s.config.Self.ID && rank.Eligible(&m) && !slices.Contains(s.config.Seeds, m.Addresses.Control) {
+			out = append(out, peerOf(m))
+		}
+	}
+	rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), bootstrapPeers)]
+}
--- /dev/null
+++ b/internal/service/exchange/listen.go
@@ -0,0 +1,53 @@
+package exchange
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
+
+	"github.com/galenalever/galenalever/internal/wire"
+)
+
+const (
+	headerTimeout = 2 * time.Second
+	readTimeout   = 10 * time.Second
+	// writeTimeout leaves time to send a complete state after the longest hold.
+	writeTimeout = maxHold + 30*time.Second
+	idleTimeout  = 30 * time.Second
+	// maxRequestBytes bounds a request; a storm of announcements fits.
+	maxRequestBytes = 4 << 20
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 4 << 10
+)
+
+// serve starts the server for other nodes.
+func (s *Service) serve() {
+	router := chi.NewRouter()
+	router.Use(middleware.Recoverer, middleware.RequestSize(maxRequestBytes), withoutDate)
+	router.Mount("/", wire.NewExchangeServer(s))
+	s.server = &http.Server{
+		Handler:           router,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	listener := &countingListener{Listener: s.config.Listener, bytes: &s.bytes}
+	s.tasks.Go(func() {
+		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error("the listener for other nodes failed", "error", err)
+		}
+	})
+}
+
+// withoutDate saves the bytes of the Date header, which nodes do not read.
+func withoutDate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["Date"] = nil
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/service/exchange/poller.go
@@ -0,0 +1,98 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/kernel"
+)
+
+const (
+	// pollWait is how long an upstream holds an answer back when there is
+	// nothing new. It bounds how late a silent upstream is noticed.
+	pollWait = 4 * time.Second
+	// pollMargin is the time beyond the wait after which a poll has failed.
+	pollMargin = 1500 * time.Millisecond
+	// transferMargin replaces pollMargin when the complete state is asked for.
+	transferMargin = 5 * time.Second
+	// minPollInterval is the least time between two answers.
+	minPollInterval = 100 * time.Millisecond
+	// failureDelay is the pause after a failure that left no other upstream.
+	failureDelay = time.Second
+)
+
+// runPoller polls the upstream of the current role until the context ends.
+func (s *Service) runPoller(ctx context.Context) {
+	for ctx.Err() == nil {
+		role, changed := s.role.Watch()
+		if role.upstream.address == "" {
+			waitFor(ctx, changed)
+			continue
+		}
+		roleCtx, cancel := context.WithCancel(ctx)
+		s.tasks.Go(func() {
+			defer cancel()
+			waitFor(roleCtx, changed)
+		})
+		s.follow(roleCtx, role)
+		cancel()
+	}
+}
+
+// follow polls one upstream until the role changes. The first poll is answered
+// at once, so that the node knows soon that it is up to date.
+func (s *Service) follow(ctx context.Context, r role) {
+	ask := question{round: r.round}
+	for ctx.Err() == nil {
+		ask.bootstrap = !s.hasConfiguration()
+		err := s.poll(ctx, r.upstream, ask)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			s.reportFailure(ctx, r.upstream, err)
+		default:
+			ask.wait = pollWait
+			_ = clock.Wait(ctx, s.clock, minPollInterval)
+		}
+	}
+}
+
+// reportFailure lets the control loop choose another upstream, and waits if
+// there is none.
+func (s *Service) reportFailure(ctx context.Context, p peer, err error) {
+	var refused *refusedError
+	delay := failureDelay
+	if errors.As(err, &refused) {
+		delay = refused.retryAfter
+	}
+	s.cursors.forget(p.address)
+	failed := pollFailed{peer: p, err: err, refused: refused != nil, handled: make(chan struct{})}
+	if s.loop.Post(ctx, failed) == nil {
+		waitFor(ctx, failed.handled)
+		_ = clock.Wait(ctx, s.clock, delay)
+	}
+}
+
+// postAndWait posts messages and returns when all of them have been handled.
+func (s *Service) postAndWait(ctx context.Context, done pollDone, messages ...kernel.Message) error {
+	for _, m := range messages {
+		if err := s.loop.Post(ctx, m); err != nil {
+			return err
+		}
+	}
+	if err := s.loop.Post(ctx, done); err != nil {
+		return err
+	}
+	waitFor(ctx, done.handled)
+	return ctx.Err()
+}
+
+func waitFor(ctx context.Context, done <-chan struct{}) {
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/service/exchange/results.go
@@ -0,0 +1,68 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+// pollDone tells the control loop that a peer's answer was posted before it.
+type pollDone struct {
+	from  peer
+	round uint64
+	// handled is closed when the messages of the answer have been handled.
+	handled chan struct{}
+}
+
+// MessageName implements kernel.Message.
+func (pollDone) MessageName() string { return "poll-done" }
+
+// pollFailed tells the control loop that a peer did not answer or cannot serve.
+type pollFailed struct {
+	peer peer
+	err  error
+	// refused means that the peer answered but asked for patience.
+	refused bool
+	handled chan struct{}
+}
+
+// MessageName implements kernel.Message.
+func (pollFailed) MessageName() string { return "poll-failed" }
+
+// barrier tells an I/O goroutine that everything posted before it was handled.
+type barrier struct {
+	handled chan struct{}
+}
+
+// MessageName implements kernel.Message.
+func (barrier) MessageName() string { return "barrier" }
+
+func (s *Service) handlePollDone(m pollDone) {
+	defer close(m.handled)
+	s.planner.exclusions.Restore(m.from.id)
+	if s.planner.failures >= orphanAfter {
+		s.scheduleReplan(replanDelay)
+	}
+	s.planner.failures = 0
+	if s.planner.configured && m.round == s.role.Load().round {
+		s.loop.Emit(control.Synchronised{From: control.Origin{Peer: m.from.name()}})
+	}
+}
+
+// handlePollFailed excludes a failed peer. A refusal counts as a failure only
+// for a configured node: while a whole domain starts, nobody can serve yet.
+func (s *Service) handlePollFailed(m pollFailed) {
+	defer close(m.handled)
+	if m.refused && !s.planner.configured {
+		return
+	}
+	now := s.clock.Now()
+	until := s.planner.exclusions.Fail(m.peer.id, now, s.planner.rng)
+	if !m.refused {
+		s.planner.failures++
+	}
+	s.timeline.Record(timeline.KindUpstreamFailed, m.peer.name()+": "+m.err.Error())
+	s.loop.After(until.Sub(now)+time.Millisecond, replan{})
+	s.decide()
+}
--- /dev/null
+++ b/internal/service/source/instances.go
@@ -0,0 +1,57 @@
+package source
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/reading"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// watchInstances posts what changes in the list of instances until the context
+// ends. The first listing of an order is not held back.
+func (s *Service) watchInstances(ctx context.Context, current order) {
+	retry := retrier{service: s, rng: s.random("instances")}
+	var wait time.Duration
+	for ctx.Err() == nil {
+		received, err := s.listInstances(ctx, wait)
+		if err != nil {
+			retry.failed(ctx, err)
+			continue
+		}
+		retry.succeeded()
+		wait = watchWait
+		s.postMembers(ctx, received, current)
+	}
+}
+
+func (s *Service) postMembers(ctx context.Context, received []model.Member, current order) {
+	var messages []kernel.Message
+	if len(received) > 0 {
+		messages = append(messages, control.MembersReceived{From: control.Origin{Platform: true}, Members: received})
+	}
+	s.post(ctx, read{listing: listingInstances, round: current.round, handled: make(chan struct{})}, messages...)
+}
+
+// listInstances returns the records that changed. An answer older than one seen
+// before is refused.
+func (s *Service) listInstances(ctx context.Context, wait time.Duration) ([]model.Member, error) {
+	if err := s.admit(ctx); err != nil {
+		return nil, err
+	}
+	after := s.instancesSeen
+	list, err := s.config.Platform.Instances(ctx, after, wait)
+	if err != nil {
+		return nil, err
+	}
+	if list.Revision < after {
+		return nil, reading.ErrStale
+	}
+	s.instancesSeen = list.Revision
+	if after > 0 {
+		return list.Members, nil
+	}
+	return append(list.Members, reading.Absent(s.members.Load(), list.Revision, list.Members)...), nil
+}
--- /dev/null
+++ b/internal/service/source/keys.go
@@ -0,0 +1,125 @@
+package source
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/reading"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// watchKeys reads changed values and posts a cut after each change, until the
+// context ends. The first listing of an order is not held back.
+func (s *Service) watchKeys(ctx context.Context, current order) {
+	retry := retrier{service: s, rng: s.random("keys")}
+	assembler := reading.NewAssembler(s.base())
+	var wait time.Duration
+	for ctx.Err() == nil {
+		if base := s.base(); base.Revision > assembler.After() {
+			assembler = reading.NewAssembler(base)
+		}
+		if err := s.assemble(ctx, assembler, wait, current); err != nil {
+			retry.failed(ctx, err)
+			continue
+		}
+		retry.succeeded()
+		s.postCut(ctx, assembler, current)
+		assembler = reading.NewAssembler(s.base())
+		wait = watchWait
+	}
+}
+
+func (s *Service) postCut(ctx context.Context, assembler *reading.Assembler, current order) {
+	var messages []kernel.Message
+	if cut, ok := assembler.Cut(); ok {
+		messages = append(messages, control.CutReceived{Cut: cut})
+	}
+	s.post(ctx, read{listing: listingKeys, round: current.round, handled: make(chan struct{})}, messages...)
+}
+
+// base returns the newest cut that the node knows.
+func (s *Service) base() model.Cut {
+	if state := s.states.Load(); state != nil {
+		return state.Cut
+	}
+	return model.Cut{}
+}
+
+// assemble lists keys and reads values until the cut is consistent, or until a
+// reader that comes before this one has delivered the same. What was read before
+// an error is kept for the next call.
+func (s *Service) assemble(ctx context.Context, a *reading.Assembler, wait time.Duration, current order) error {
+	if _, unread := a.Next(); !unread {
+		if err := s.listKeys(ctx, a, wait); err != nil {
+			return err
+		}
+	}
+	if _, unread := a.Next(); unread {
+		s.awaitOthers(ctx, a.After(), current)
+		if s.base().Revision >= a.After() {
+			return nil
+		}
+	}
+	for {
+		key, unread := a.Next()
+		switch {
+		case unread:
+			if err := s.readValue(ctx, a, key); err != nil {
+				return err
+			}
+		case a.NeedsListing():
+			if err := s.listKeys(ctx, a, 0); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+}
+
+// awaitOthers leaves a listed change to the readers that come before this one,
+// for a time that depends on their number.
+func (s *Service) awaitOthers(ctx context.Context, listed model.Revision, current order) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := s.clock.AfterFunc(time.Duration(current.place)*placeDelay, cancel)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		state, changed := s.states.Watch()
+		if state != nil && state.Cut.Revision >= listed {
+			return
+		}
+		waitFor(ctx, changed)
+	}
+}
+
+func (s *Service) listKeys(ctx context.Context, a *reading.Assembler, wait time.Duration) error {
+	if err := s.admit(ctx); err != nil {
+		return err
+	}
+	list, err := s.config.Platform.Keys(ctx, a.After(), wait)
+	if err != nil {
+		return err
+	}
+	return a.Listed(list.Revision, list.Changes)
+}
+
+// readValue reads one value. A value that is missing was removed after the
+// listing, so the keys are listed again.
+func (s *Service) readValue(ctx context.Context, a *reading.Assembler, key model.Key) error {
+	if err := s.admit(ctx); err != nil {
+		return err
+	}
+	v, err := s.config.Platform.Value(ctx, key)
+	if errors.Is(err, ErrNoValue) {
+		a.Missing(key)
+		return s.listKeys(ctx, a, 0)
+	}
+	if err != nil {
+		return err
+	}
+	return a.Read(s.config.Parse(v.Key, v.Revision, v.Text, false))
+}
--- /dev/null
+++ b/internal/service/source/retry.go
@@ -0,0 +1,38 @@
+package source
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+// retrier delays a goroutine after failures in a row.
+type retrier struct {
+	service  *Service
+	rng      *rand.Rand
+	failures int
+}
+
+// succeeded ends a row of failures.
+func (r *retrier) succeeded() { r.failures = 0 }
+
+// failed waits before the next attempt, at least as long as the platform asked
+// for. The first failure of a row is recorded.
+func (r *retrier) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	r.failures++
+	if r.failures == 1 {
+		r.service.timeline.Record(timeline.KindSourceFailed, err.Error())
+	}
+	delay := retryPolicy.Delay(r.failures, r.rng)
+	var busy *BusyError
+	if errors.As(err, &busy) {
+		delay += busy.RetryAfter
+	}
+	_ = clock.Wait(ctx, r.service.clock, delay)
+}
--- /dev/null
+++ b/internal/service/source/source.go
@@ -0,0 +1,246 @@
+// Package source is the service that reads the platform while this node is a
+// reader of its failure domain.
+package source
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/backoff"
+	"github.com/galenalever/galenalever/internal/decision/members"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+const (
+	// watchWait is how long the platform holds a listing back when there is
+	// nothing new.
+	watchWait = 30 * time.Second
+	// placeDelay is how long a reader leaves changed values to each reader that
+	// comes before it.
+	placeDelay = 750 * time.Millisecond
+	// callRate and callBurst bound the calls of one process. The readers of 11
+	// failure domains together stay below 1,000 calls a second.
+	callRate  = rate.Limit(30)
+	callBurst = 30
+)
+
+// retryPolicy bounds the delay after a failed call.
+var retryPolicy = backoff.Policy{Base: time.Second, Max: 30 * time.Second}
+
+// Parse makes a subtree from the text of a value. A text that is not valid
+// yields a subtree that is marked as rejected.
+type Parse func(key model.Key, revision model.Revision, text []byte, removed bool) *model.Subtree
+
+// Config is the settings of the service.
+type Config struct {
+	Self     model.Self
+	Platform Platform
+	Parse    Parse
+	// RandomSeed varies the jitter between processes.
+	RandomSeed uint64
+}
+
+// The small interfaces of the partners that the service finds by name.
+type (
+	configurations interface {
+		Configuration() *kernel.Snapshot[*model.Configuration]
+	}
+	views interface {
+		View() *kernel.Snapshot[*members.View]
+	}
+	recorder interface {
+		Record(kind timeline.Kind, detail string)
+	}
+)
+
+// Service reads the platform.
+type Service struct {
+	config   Config
+	clock    clock.Clock
+	loop     *kernel.Loop
+	log      *slog.Logger
+	timeline recorder
+	states   *kernel.Snapshot[*model.Configuration]
+	members  *kernel.Snapshot[*members.View]
+	// order is written on the control loop.
+	order   *kernel.Snapshot[order]
+	limiter *rate.Limiter
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+	// confirmed tells which listings were current in the present round. It is
+	// touched on the control loop only.
+	confirmed map[listing]bool
+	// instancesSeen is the newest revision of the list of instances. Only the
+	// goroutine that watches the list touches it.
+	instancesSeen model.Revision
+}
+
+// order is what the I/O goroutines have to read.
+type order struct {
+	scope control.ReadScope
+	// place is the number of readers that read before this one.
+	place int
+	// round grows with every pause, after which all is read again.
+	round uint64
+}
+
+// listing names one of the two lists of the platform.
+type listing uint8
+
+const (
+	listingKeys listing = iota
+	listingInstances
+)
+
+// New returns the service.
+func New(c Config) *Service {
+	return &Service{
+		config:    c,
+		order:     kernel.NewSnapshot(order{}),
+		limiter:   rate.NewLimiter(callRate, callBurst),
+		confirmed: make(map[listing]bool),
+	}
+}
+
+// Name implements kernel.Service.
+func (*Service) Name() string { return control.Source }
+
+// Provision implements kernel.Provisioner.
+func (s *Service) Provision(c *kernel.Context) error {
+	s.clock, s.loop, s.log = c.Clock, c.Loop, c.Log
+	var err error
+	if s.timeline, err = kernel.Find[recorder](c, control.Timeline); err != nil {
+		return err
+	}
+	config, err := kernel.Find[configurations](c, control.Config)
+	if err != nil {
+		return err
+	}
+	membership, err := kernel.Find[views](c, control.Membership)
+	if err != nil {
+		return err
+	}
+	s.states, s.members = config.Configuration(), membership.View()
+	kernel.Subscribe(c.Loop, s.handleScope)
+	kernel.Subscribe(c.Loop, s.handlePaused)
+	kernel.Subscribe(c.Loop, s.handleRead)
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (s *Service) Start(ctx context.Context) error {
+	ctx, s.cancel = context.WithCancel(ctx)
+	s.tasks.Go(func() { s.run(ctx, control.ReadAll, s.watchKeys) })
+	s.tasks.Go(func() { s.run(ctx, control.ReadInstances, s.watchInstances) })
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	s.tasks.Wait()
+	return nil
+}
+
+func (s *Service) handleScope(m control.ReadScopeChanged) {
+	old := s.order.Load()
+	s.order.Store(order{scope: m.Scope, place: m.Place, round: old.round})
+	s.recordScope(old.scope, m.Scope)
+}
+
+func (s *Service) recordScope(old, next control.ReadScope) {
+	switch {
+	case old == control.ReadNothing:
+		s.timeline.Record(timeline.KindSourceStarted, "")
+	case next == control.ReadNothing:
+		s.timeline.Record(timeline.KindSourceStopped, "")
+	}
+}
+
+func (s *Service) handlePaused(control.Paused) {
+	next := s.order.Load()
+	next.round++
+	clear(s.confirmed)
+	s.order.Store(next)
+}
+
+// read tells the control loop that a listing was current.
+type read struct {
+	listing listing
+	round   uint64
+	handled chan struct{}
+}
+
+// MessageName implements kernel.Message.
+func (read) MessageName() string { return "platform-read" }
+
+func (s *Service) handleRead(m read) {
+	defer close(m.handled)
+	if m.round != s.order.Load().round {
+		return
+	}
+	s.confirmed[m.listing] = true
+	if s.confirmed[listingKeys] && s.confirmed[listingInstances] {
+		s.loop.Emit(control.Synchronised{From: control.Origin{Platform: true}})
+	}
+}
+
+// run calls watch whenever the scope includes need, until the context ends.
+// The context of watch ends when the order changes.
+func (s *Service) run(ctx context.Context, need control.ReadScope, watch func(context.Context, order)) {
+	for ctx.Err() == nil {
+		current, changed := s.order.Watch()
+		if current.scope < need {
+			waitFor(ctx, changed)
+			continue
+		}
+		orderCtx, cancel := context.WithCancel(ctx)
+		s.tasks.Go(func() {
+			defer cancel()
+			waitFor(orderCtx, changed)
+		})
+		watch(orderCtx, current)
+		cancel()
+	}
+}
+
+// admit waits until the process may make another call.
+func (s *Service) admit(ctx context.Context) error {
+	now := s.clock.Now()
+	delay := s.limiter.ReserveN(now, 1).DelayFrom(now)
+	if delay == 0 {
+		return ctx.Err()
+	}
+	return clock.Wait(ctx, s.clock, delay)
+}
+
+// post hands messages to the control loop and waits until they are handled.
+func (s *Service) post(ctx context.Context, done read, messages ...kernel.Message) {
+	for _, m := range append(messages, done) {
+		if s.loop.Post(ctx, m) != nil {
+			return
+		}
+	}
+	waitFor(ctx, done.handled)
+}
+
+func (s *Service) random(purpose string) *rand.Rand {
+	stream := members.Hash(s.config.Self.ID) ^ members.Hash(model.InstanceID(purpose))
+	return rand.New(rand.NewPCG(s.config.RandomSeed, stream))
+}
+
+func waitFor(ctx context.Context, done <-chan struct{}) {
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
