Show presence and members on the operator port

galenactl could not find the other nodes: no page listed the instances that a node knows. A section of the exchange's status was ruled out: at 21,000 instances it would make every /status some megabytes large.

go test ./internal/service/operator: ok.

--- a/internal/ctl/nodes.go
+++ b/internal/ctl/nodes.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/status"
 )
 
@@ -51,7 +52,7 @@
 func (f *nodeFlags) addresses(ctx context.Context, client *status.Client) []string {
 	addresses := slices.Clone(f.Nodes)
 	if f.All {
-		for _, r := range f.reports(ctx, client, f.Nodes) {
+		for _, r := range ask(f.Nodes, func(a string) ([]model.Member, error) { return client.Members(ctx, a) }) {
 			addresses = append(addresses, memberAddresses(r.value)...)
 		}
 	}
@@ -63,9 +64,9 @@
 	return ask(addresses, func(address string) (status.Report, error) { return client.Report(ctx, address) })
 }
 
-func memberAddresses(r status.Report) []string {
+func memberAddresses(members []model.Member) []string {
 	var addresses []string
-	for _, member := range r.Members() {
+	for _, member := range members {
 		if member.Present() && member.Addresses.Operator != "" {
 			addresses = append(addresses, member.Addresses.Operator)
 		}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -50,11 +50,11 @@
 
 func printReports(w io.Writer, reports []status.Report) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "INSTANCE\tSERVICE\tDOMAIN\tUPTIME\tCUT\tPRESENCE\tUPSTREAM\tCONTROL BYTES\tHELD")
+	fmt.Fprintln(table, "INSTANCE\tSERVICE\tDOMAIN\tUPTIME\tCUT\tPRESENCE\tUPSTREAM\tCONTROL BYTES IN/OUT\tHELD")
 	for _, r := range reports {
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\n",
 			r.Instance, r.Service, r.Domain, r.Uptime.Round(time.Second), r.Version.Cut,
-			orDash(r.Presence()), orDash(r.Upstream()), orDash(r.ControlBytes()), orDash(r.Version.HeldText()))
+			orDash(r.Presence), orDash(r.Upstream()), orDash(r.ControlBytes()), orDash(r.Version.HeldText()))
 	}
 	return table.Flush()
 }
--- a/internal/service/operator/operator.go
+++ b/internal/service/operator/operator.go
@@ -17,6 +17,7 @@
 
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/members"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/status"
@@ -49,18 +50,24 @@
 	loop    *kernel.Loop
 	log     *slog.Logger
 	started time.Time
-	// configuration is nil if the node has no config service.
+	// configuration and members are nil if the node has no such service.
 	configuration configurationSource
+	members       memberSource
 
 	mu        sync.Mutex
 	sections  map[string]func() any
 	readiness map[string]func() error
 }
 
-// configurationSource is what the service uses of the config service.
-type configurationSource interface {
-	Configuration() *kernel.Snapshot[*model.Configuration]
-}
+// The small interfaces of the partners that the service finds by name.
+type (
+	configurationSource interface {
+		Configuration() *kernel.Snapshot[*model.Configuration]
+	}
+	memberSource interface {
+		View() *kernel.Snapshot[*members.View]
+	}
+)
 
 // New returns the service; pages and sections may be added at once.
 func New(c Config) *Service {
@@ -72,6 +79,7 @@
 	}
 	s.router.Use(middleware.Throttle(maxRequests), middleware.Recoverer)
 	s.router.Get(status.PathStatus, s.serveStatus)
+	s.router.Get(status.PathMembers, s.serveMembers)
 	s.router.Get(status.PathHealth, serveHealth)
 	s.router.Get(status.PathReady, s.serveReady)
 	if c.Profiling {
@@ -90,6 +98,9 @@
 	if source, err := kernel.Find[configurationSource](c, control.Config); err == nil {
 		s.configuration = source
 	}
+	if source, err := kernel.Find[memberSource](c, control.Membership); err == nil {
+		s.members = source
+	}
 	return nil
 }
 
--- a/internal/service/operator/operator_test.go
+++ b/internal/service/operator/operator_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/members"
 	"github.com/galenalever/galenalever/internal/findings"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
@@ -36,9 +37,19 @@
 
 func (f *fakeConfig) Configuration() *kernel.Snapshot[*model.Configuration] { return f.snapshot }
 
+// fakeMembership stands in for the membership service.
+type fakeMembership struct {
+	snapshot *kernel.Snapshot[*members.View]
+}
+
+func (*fakeMembership) Name() string { return control.Membership }
+
+func (f *fakeMembership) View() *kernel.Snapshot[*members.View] { return f.snapshot }
+
 // node is the operators' side of a node without traffic.
 type node struct {
 	config   *fakeConfig
+	members  *fakeMembership
 	timeline *timeline.Service
 	metrics  *metrics.Service
 	operator *operator.Service
@@ -53,6 +64,7 @@
 	fake := clock.NewFake(time.UnixMilli(1000))
 	n := &node{
 		config:   &fakeConfig{kernel.NewSnapshot[*model.Configuration](nil)},
+		members:  &fakeMembership{kernel.NewSnapshot(members.New(1))},
 		timeline: timeline.New(timeline.Config{Instance: "katalog-1", Clock: fake}),
 		metrics:  metrics.New(metrics.Config{Tags: map[string]string{"domain": "jkt"}}),
 		operator: operator.New(operator.Config{
@@ -62,7 +74,7 @@
 		url: "http://" + listener.Addr().String(),
 	}
 	k := kernel.New(fake, slog.New(slog.DiscardHandler))
-	if err := k.Register(n.timeline, n.metrics, n.operator, n.config); err != nil {
+	if err := k.Register(n.timeline, n.metrics, n.operator, n.config, n.members); err != nil {
 		t.Fatal(err)
 	}
 	if err := k.Start(t.Context()); err != nil {
@@ -90,6 +102,10 @@
 		return n.get(t, d.CmdArgs[0].String())
 	case "configure":
 		n.config.snapshot.Store(configuration())
+	case "announce":
+		self := model.Self{ID: "katalog-1", Service: "toko/katalog", Domain: "jkt", Incarnation: 7}
+		view, _ := n.members.snapshot.Load().With(self.Member(model.PresenceReady))
+		n.members.snapshot.Store(view)
 	case "section":
 		n.operator.AddStatus(d.CmdArgs[0].Key, func() any { return map[string]string{"state": input} })
 	case "bad-section":
--- a/internal/service/operator/pages.go
+++ b/internal/service/operator/pages.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -43,7 +44,15 @@
 }
 
 func (s *Service) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	body, err := json.Marshal(s.report())
+	writeJSON(w, s.report())
+}
+
+func (s *Service) serveMembers(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.knownMembers())
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	body, err := json.Marshal(v)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -62,6 +71,8 @@
 		Incarnation: self.Incarnation,
 		Uptime:      s.clock.Now().Sub(s.started),
 		Loop:        s.loop.Stats(),
+		Presence:    s.presence(),
+		Members:     s.memberCount(),
 		Version:     status.NewVersion(s.current()),
 		Sections:    s.sectionBodies(),
 	}
@@ -75,6 +86,32 @@
 	return s.configuration.Configuration().Load()
 }
 
+// knownMembers returns all instances that the node knows, ordered by ID.
+func (s *Service) knownMembers() []model.Member {
+	if s.members == nil {
+		return []model.Member{}
+	}
+	all := s.members.View().Load().All()
+	slices.SortFunc(all, func(a, b model.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+func (s *Service) memberCount() int {
+	if s.members == nil {
+		return 0
+	}
+	return s.members.View().Load().Len()
+}
+
+// presence returns what the node announces of its instance.
+func (s *Service) presence() string {
+	if s.members == nil {
+		return model.PresenceUnknown.String()
+	}
+	own, _ := s.members.View().Load().Get(s.config.Self.ID)
+	return own.Announced.Presence.String()
+}
+
 // sectionBodies encodes the sections. One that fails is replaced by its error,
 // so that the others are still shown.
 func (s *Service) sectionBodies() map[string]json.RawMessage {
--- a/internal/status/client.go
+++ b/internal/status/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
 )
 
@@ -37,6 +38,13 @@
 	return r, err
 }
 
+// Members asks the node at an operator address for the instances it knows.
+func (c *Client) Members(ctx context.Context, address string) ([]model.Member, error) {
+	var members []model.Member
+	err := c.get(ctx, address, PathMembers, &members)
+	return members, err
+}
+
 // Timeline asks the node at an operator address for its events after a
 // timestamp.
 func (c *Client) Timeline(ctx context.Context, address string, after timeline.Timestamp) ([]timeline.Event, error) {
--- a/internal/status/sections.go
+++ b/internal/status/sections.go
@@ -5,21 +5,8 @@
 	"fmt"
 	"slices"
 	"strings"
-
-	"github.com/galenalever/galenalever/internal/model"
 )
 
-// Members returns the members that a node knows, or nil if it does not tell.
-func (r Report) Members() []model.Member {
-	var section struct {
-		Members []model.Member `json:"members"`
-	}
-	if json.Unmarshal(r.Sections["membership"], &section) != nil {
-		return nil
-	}
-	return section.Members
-}
-
 // Field returns a scalar field of a section as text, or "" if there is none.
 func (r Report) Field(section, field string) string {
 	var fields map[string]any
@@ -32,14 +19,30 @@
 	return fmt.Sprint(fields[field])
 }
 
-// Presence returns what the node announces of its instance.
-func (r Report) Presence() string { return r.Field("membership", "presence") }
+// sectionExchange is the section of the exchange between nodes.
+const sectionExchange = "exchange"
 
-// Upstream returns where the node gets its state from: "platform" or a peer.
-func (r Report) Upstream() string { return r.Field("exchange", "upstream") }
+// SourcePlatform is the upstream of a node that reads the platform.
+const SourcePlatform = "platform"
 
-// ControlBytes returns the bytes that the node sent and received for control.
-func (r Report) ControlBytes() string { return r.Field("exchange", "control_bytes") }
+// Upstream returns where the node gets its state from: SourcePlatform or the
+// instance ID of a peer.
+func (r Report) Upstream() string {
+	if r.Field(sectionExchange, "reader") == "true" {
+		return SourcePlatform
+	}
+	return r.Field(sectionExchange, "upstream")
+}
+
+// ControlBytes returns the bytes that the node received and sent for control,
+// as text.
+func (r Report) ControlBytes() string {
+	received, sent := r.Field(sectionExchange, "received_bytes"), r.Field(sectionExchange, "sent_bytes")
+	if received == "" && sent == "" {
+		return ""
+	}
+	return received + "/" + sent
+}
 
 // HeldText names the subtrees that are not in force, with the first finding of
 // each.
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -15,6 +15,7 @@
 	PathStatus   = "/status"
 	PathTimeline = "/timeline"
 	PathMetrics  = "/metrics"
+	PathMembers  = "/members"
 	PathHealth   = "/healthz"
 	PathReady    = "/readyz"
 )
@@ -28,7 +29,11 @@
 	Incarnation model.Incarnation   `json:"incarnation"`
 	Uptime      time.Duration       `json:"uptime_ns"`
 	Loop        kernel.LoopStats    `json:"loop"`
-	Version     Version             `json:"version"`
+	// Presence is what the node announces of its instance.
+	Presence string `json:"presence"`
+	// Members is the number of instances that the node knows.
+	Members int     `json:"members"`
+	Version Version `json:"version"`
 	// Sections are added by the services of the node, under their names.
 	Sections map[string]json.RawMessage `json:"sections"`
 }
