--- a/internal/ctl/runbook_run.go
+++ b/internal/ctl/runbook_run.go
@@ -130,7 +130,11 @@
 	if err != nil {
 		return runbook.NodeState{}, err
 	}
-	state := runbook.NodeState{Instance: report.Instance, Members: report.Members(), Leaves: make(map[string][]byte)}
+	members, err := f.client.Members(ctx, address)
+	if err != nil {
+		return runbook.NodeState{}, err
+	}
+	state := runbook.NodeState{Instance: report.Instance, Members: members, Leaves: make(map[string][]byte)}
 	for path, value := range subtree.Leaves {
 		state.Leaves[path] = value
 	}
