--- /dev/null
+++ b/cmd/galenabench/main.go
@@ -0,0 +1,10 @@
+// Command galenabench measures real nodes on loopback under load and faults.
+package main
+
+import (
+	"os"
+
+	"github.com/galenalever/galenalever/internal/bench"
+)
+
+func main() { os.Exit(bench.Main(os.Args[1:], os.Stdout, os.Stderr)) }
