Add the demo and the run under failures

- standin/demo: 14 nodes, reads, bookings and uploads through all callers' ports, a second version under load; fails if a node does not run it, a call is cut, no node has a peer as origin, or a promise is broken.
- standin/chaos: failures by seed; ledger, answers, versions and convergence are checked from outside.
- mesh.Observer samples every node's status and checks that versions only grow.

--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,9 @@
 
 demo: build
 	$(BIN)/galenastand demo --bin $(BIN)
+
+# SEED selects the failures, DURATION the time under them.
+SEED ?= 1
+DURATION ?= 1m
+chaos: build
+	$(BIN)/galenastand chaos --bin $(BIN) --seed $(SEED) --duration $(DURATION)
--- /dev/null
+++ b/internal/standin/demo/demo.go
@@ -0,0 +1,174 @@
+// Package demo shows the Java deployment of the brief with real node processes:
+// two versions of the configuration are published while requests flow.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/standin/load"
+	"github.com/galenalever/galenalever/internal/standin/mesh"
+)
+
+const (
+	// readyTimeout bounds the start of the mesh, versionTimeout the time until
+	// the second version is in force everywhere.
+	readyTimeout   = 25 * time.Second
+	versionTimeout = 15 * time.Second
+	// loadBefore and loadAfter is the time under load around the publication.
+	loadBefore = 3 * time.Second
+	loadAfter  = 4 * time.Second
+	// stopTimeout bounds the shutdown of one node.
+	stopTimeout = 10 * time.Second
+	// serverLatency is the run time of a request.
+	serverLatency = 5 * time.Millisecond
+	// shownEvents is the number of events printed of the time line.
+	shownEvents = 40
+	// seed makes the choices of callers' nodes the same in every run.
+	seed = 1
+)
+
+// Config is the settings of the demo.
+type Config struct {
+	// Bin is the folder of the programs.
+	Bin string
+	// Out receives the report.
+	Out io.Writer
+}
+
+// shapes are the requests of the Javanese association.
+func shapes() []load.Shape {
+	const host = "sewa.example"
+	return []load.Shape{
+		{Name: "read", Method: "GET", Host: host, Path: "/units", Idempotent: true, Rate: 100, AnswerBytes: 2000},
+		{Name: "book", Method: "POST", Host: host, Path: "/bookings", Keyed: true, Rate: 40, BodyBytes: 300},
+		{
+			Name: "upload", Method: "POST", Host: host, Path: "/permits", Rate: 2,
+			BodyBytes: 500_000, BodyTime: time.Second, Run: 100 * time.Millisecond,
+		},
+	}
+}
+
+// run is one demo.
+type run struct {
+	Config
+	mesh      *mesh.Mesh
+	observer  *mesh.Observer
+	generator *load.Generator
+}
+
+// Run runs the demo. It returns an error if a node did not run the second
+// version, a call was cut or a promise was broken.
+func Run(ctx context.Context, c Config) error {
+	m, err := mesh.New(mesh.Config{
+		Deployment: mesh.Java(),
+		Program:    filepath.Join(c.Bin, "galenaleverd"),
+		Latency:    serverLatency,
+		Seed:       seed,
+	})
+	if err != nil {
+		return err
+	}
+	r := &run{
+		Config:   c,
+		mesh:     m,
+		observer: mesh.NewObserver(m),
+		generator: load.NewGenerator(load.Config{
+			Shapes: shapes(), Callers: m.Callers, Prefix: "demo", Seed: seed,
+		}),
+	}
+	err = r.show(ctx)
+	if stopErr := m.Close(stopTimeout); err == nil {
+		err = stopErr
+	}
+	if err == nil {
+		fmt.Fprintln(c.Out, "all processes have ended; the demo succeeded")
+	}
+	return err
+}
+
+func (r *run) show(ctx context.Context) error {
+	if err := r.start(ctx); err != nil {
+		return err
+	}
+	second, err := r.underLoad(ctx)
+	if err != nil {
+		return err
+	}
+	return r.report(ctx, second)
+}
+
+// start publishes the first version and waits until all nodes are ready.
+func (r *run) start(ctx context.Context) error {
+	fmt.Fprintf(r.Out, "starting %d nodes in %v; %s one way between nodes\n",
+		len(r.mesh.Nodes), mesh.Java().Domains, mesh.Java().LinkDelay)
+	if err := r.mesh.PublishAll(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	begin := time.Now()
+	if err := r.mesh.Start(ctx); err != nil {
+		return err
+	}
+	reports, err := r.observer.Await(ctx, both(
+		r.mesh.AllReady(),
+		r.mesh.AllRun(model.TeamKey("katalog"), 1),
+	))
+	printReports(r.Out, reports)
+	if err == nil {
+		fmt.Fprintf(r.Out, "version 1 is in force on all nodes after %s\n", since(begin))
+	}
+	return err
+}
+
+func both(a, b func(mesh.Reports) bool) func(mesh.Reports) bool {
+	return func(r mesh.Reports) bool { return a(r) && b(r) }
+}
+
+// underLoad publishes the second version while requests flow and returns its
+// revision.
+func (r *run) underLoad(ctx context.Context) (model.Revision, error) {
+	loadCtx, stop := context.WithCancel(ctx)
+	var generator sync.WaitGroup
+	generator.Go(func() { r.generator.Run(loadCtx) })
+	defer generator.Wait()
+	defer stop()
+	if err := wait(ctx, loadBefore); err != nil {
+		return 0, err
+	}
+	key := model.TeamKey("katalog")
+	begin := time.Now()
+	second, err := r.mesh.Publish(key, mesh.Java().Document("katalog-2"))
+	if err != nil {
+		return 0, err
+	}
+	convergeCtx, cancel := context.WithTimeout(ctx, versionTimeout)
+	defer cancel()
+	if _, err := r.observer.Await(convergeCtx, r.mesh.AllRun(key, second)); err != nil {
+		printReports(r.Out, r.observer.Sample(ctx))
+		return 0, eris.Wrap(err, "version 2")
+	}
+	fmt.Fprintf(r.Out, "version 2 is in force on all nodes %s after its publication\n", since(begin))
+	return second, wait(ctx, loadAfter)
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func since(begin time.Time) time.Duration { return time.Since(begin).Round(time.Millisecond) }
--- a/internal/standin/load/generator.go
+++ b/internal/standin/load/generator.go
@@ -173,7 +173,7 @@
 	case len(body) > 0:
 		content = bytes.NewReader(body)
 	}
-	request, err := http.NewRequestWithContext(ctx, shape.Method, shape.target(address), content)
+	request, err := http.NewRequestWithContext(ctx, shape.Method, shape.target(address, id), content)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/load/shape.go
+++ b/internal/standin/load/shape.go
@@ -34,9 +34,10 @@
 	BodyTime  time.Duration
 }
 
-// target returns the URL of a request at a callers' address.
-func (s Shape) target(address string) string {
-	query := url.Values{}
+// target returns the URL of a request at a callers' address. The ID stands in
+// the query, as requests for different things differ in their URLs.
+func (s Shape) target(address, id string) string {
+	query := url.Values{"id": {id}}
 	if s.Run > 0 {
 		query.Set(backend.ParamRun, s.Run.String())
 	}
--- /dev/null
+++ b/internal/standin/mesh/observer.go
@@ -0,0 +1,175 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/status"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+const (
+	// sampleTimeout bounds one call to a node's operator port.
+	sampleTimeout = 2 * time.Second
+	// sampleInterval is the time between two samples of all nodes.
+	sampleInterval = 100 * time.Millisecond
+)
+
+// Reports holds the status of each node that answered.
+type Reports map[string]status.Report
+
+// Observer reads the status of all nodes and checks that no node ever runs an
+// older version than before, also over its restarts.
+type Observer struct {
+	mesh   *Mesh
+	client *status.Client
+
+	mu         sync.Mutex
+	last       map[string]status.Version
+	samples    int
+	violations []string
+}
+
+// NewObserver returns an observer of a mesh.
+func NewObserver(m *Mesh) *Observer {
+	return &Observer{
+		mesh:   m,
+		client: status.NewClient(sampleTimeout),
+		last:   make(map[string]status.Version),
+	}
+}
+
+// Violations returns the returns to older versions seen so far.
+func (o *Observer) Violations() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.violations)
+}
+
+// Samples returns the number of reports read so far.
+func (o *Observer) Samples() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.samples
+}
+
+// Run samples all nodes until the context ends.
+func (o *Observer) Run(ctx context.Context) {
+	_, _ = o.Await(ctx, func(Reports) bool { return false }) // it ends with the context
+}
+
+// Await samples all nodes until the condition holds. It returns the last
+// reports also when the context ends before.
+func (o *Observer) Await(ctx context.Context, condition func(Reports) bool) (Reports, error) {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	for {
+		reports := o.Sample(ctx)
+		if condition(reports) {
+			return reports, nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return reports, eris.Wrap(ctx.Err(), "the nodes did not reach the expected state")
+		}
+	}
+}
+
+// Sample reads the status of every node that runs.
+func (o *Observer) Sample(ctx context.Context) Reports {
+	reports := make(Reports)
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, n := range o.mesh.Nodes {
+		if !n.Running() {
+			continue
+		}
+		calls.Go(func() {
+			report, err := o.client.Report(ctx, n.Addresses().Operator)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			reports[n.ID] = report
+		})
+	}
+	calls.Wait()
+	o.check(reports)
+	return reports
+}
+
+// check compares each report with the one before of the same instance.
+func (o *Observer) check(reports Reports) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, report := range reports {
+		o.samples++
+		if report.Version.Cut == 0 {
+			continue // a fresh process that has no configuration yet
+		}
+		for _, fault := range older(o.last[id], report.Version) {
+			o.violations = append(o.violations, fmt.Sprintf("%s (incarnation %d): %s", id, report.Incarnation, fault))
+		}
+		o.last[id] = report.Version
+	}
+}
+
+// older tells in which respects a version is older than the one before.
+func older(before, now status.Version) []string {
+	var faults []string
+	if now.Cut < before.Cut {
+		faults = append(faults, fmt.Sprintf("cut %d after %d", now.Cut, before.Cut))
+	}
+	for key, revision := range before.Running {
+		if now.Running[key] < revision {
+			faults = append(faults, fmt.Sprintf("%s at %d after %d", key, now.Running[key], revision))
+		}
+	}
+	return faults
+}
+
+// Events returns the merged events of all nodes that answer.
+func (o *Observer) Events(ctx context.Context) []timeline.Event {
+	var events []timeline.Event
+	for _, n := range o.mesh.Nodes {
+		if !n.Running() {
+			continue
+		}
+		if list, err := o.client.Timeline(ctx, n.Addresses().Operator, 0); err == nil {
+			events = append(events, list...)
+		}
+	}
+	timeline.Sort(events)
+	return events
+}
+
+// AllRun returns a condition: every node of the mesh runs the key at the
+// revision or a later one.
+func (m *Mesh) AllRun(key model.Key, revision model.Revision) func(Reports) bool {
+	return m.all(func(r status.Report) bool { return r.Version.Running[key] >= revision })
+}
+
+// AllReady returns a condition: every node is ready and knows all instances.
+func (m *Mesh) AllReady() func(Reports) bool {
+	ready := model.PresenceReady.String()
+	return m.all(func(r status.Report) bool { return r.Presence == ready && r.Members >= len(m.Nodes) })
+}
+
+func (m *Mesh) all(holds func(status.Report) bool) func(Reports) bool {
+	return func(reports Reports) bool {
+		for _, n := range m.Nodes {
+			if report, ok := reports[n.ID]; !ok || !holds(report) {
+				return false
+			}
+		}
+		return true
+	}
+}
--- /dev/null
+++ b/internal/standin/meshes.go
@@ -0,0 +1,33 @@
+package standin
+
+import (
+	"io"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/standin/chaos"
+	"github.com/galenalever/galenalever/internal/standin/demo"
+)
+
+type demoCommand struct {
+	Bin string `help:"Folder of the programs." env:"STAND_BIN" default:"bin"`
+}
+
+// Run implements the command.
+func (c *demoCommand) Run(w io.Writer) error {
+	ctx, stop := untilSignal()
+	defer stop()
+	return demo.Run(ctx, demo.Config{Bin: c.Bin, Out: w})
+}
+
+type chaosCommand struct {
+	Bin      string        `help:"Folder of the programs." env:"STAND_BIN" default:"bin"`
+	Seed     uint64        `help:"Selects the failures." env:"STAND_SEED" default:"1"`
+	Duration time.Duration `help:"Time under failures." env:"STAND_DURATION" default:"1m"`
+}
+
+// Run implements the command.
+func (c *chaosCommand) Run(w io.Writer) error {
+	ctx, stop := untilSignal()
+	defer stop()
+	return chaos.Run(ctx, chaos.Config{Bin: c.Bin, Seed: c.Seed, Duration: c.Duration, Out: w})
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -3,7 +3,10 @@
 package standin
 
 import (
+	"context"
 	"io"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -11,10 +14,20 @@
 )
 
 type commands struct {
-	Version kong.VersionFlag `help:"Print the version."`
+	Version  kong.VersionFlag `help:"Print the version."`
+	Platform platformCommand  `cmd:"" help:"Run the platform: configuration service and list of instances."`
+	Backend  backendCommand   `cmd:"" help:"Run one backend server."`
+	Link     linkCommand      `cmd:"" help:"Run a relay with the delay of a link."`
+	Demo     demoCommand      `cmd:"" help:"Run the Java deployment and publish two versions under load."`
+	Chaos    chaosCommand     `cmd:"" help:"Run the Egyptian deployment under failures and check the promises."`
 }
 
 // Main runs one command and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	return cli.Run(&commands{}, "galenastand", "Stand-ins for the systems around galenalever.", args, stdout, stderr)
 }
+
+// untilSignal returns a context that ends when the process is asked to end.
+func untilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
