--- a/internal/service/operator/operator.go
+++ b/internal/service/operator/operator.go
@@ -101,6 +101,7 @@
 	if source, err := kernel.Find[memberSource](c, control.Membership); err == nil {
 		s.members = source
 	}
+	s.Handle(status.PathSubtree, http.HandlerFunc(s.serveSubtree))
 	return nil
 }
 
--- a/internal/service/operator/pages.go
+++ b/internal/service/operator/pages.go
@@ -44,15 +44,19 @@
 }
 
 func (s *Service) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.report())
+	serveJSON(w, s.report())
+}
+
+func (s *Service) serveSubtree(w http.ResponseWriter, r *http.Request) {
+	serveJSON(w, status.NewSubtree(s.current(), model.Key(r.URL.Query().Get("key"))))
 }
 
 func (s *Service) serveMembers(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.knownMembers())
+	serveJSON(w, s.knownMembers())
 }
 
-func writeJSON(w http.ResponseWriter, v any) {
-	body, err := json.Marshal(v)
+func serveJSON(w http.ResponseWriter, value any) {
+	body, err := json.Marshal(value)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
