--- a/internal/standin/chaos/chaos.go
+++ b/internal/standin/chaos/chaos.go
@@ -79,14 +79,15 @@
 	if err != nil {
 		return err
 	}
+	observer := mesh.NewObserver(m)
 	r := &run{
 		Config:   c,
 		mesh:     m,
-		observer: mesh.NewObserver(m),
+		observer: observer,
 		generator: load.NewGenerator(load.Config{
 			Shapes: shapes(), Callers: m.Callers, Sends: sends, Prefix: fmt.Sprintf("chaos%d", c.Seed), Seed: c.Seed,
 		}),
-		publisher: newPublisher(m),
+		publisher: newPublisher(m, observer),
 	}
 	err = r.survive(ctx)
 	if stopErr := m.Close(stopTimeout); err == nil {
--- a/internal/standin/chaos/publisher.go
+++ b/internal/standin/chaos/publisher.go
@@ -13,14 +13,15 @@
 // publisher plays the operators: it publishes good and bad versions and knows
 // which of them must be in force in the end.
 type publisher struct {
-	mesh *mesh.Mesh
+	mesh     *mesh.Mesh
+	observer *mesh.Observer
 
 	mu   sync.Mutex
 	good map[model.Key]model.Revision
 }
 
-func newPublisher(m *mesh.Mesh) *publisher {
-	return &publisher{mesh: m, good: make(map[model.Key]model.Revision)}
+func newPublisher(m *mesh.Mesh, o *mesh.Observer) *publisher {
+	return &publisher{mesh: m, observer: o, good: make(map[model.Key]model.Revision)}
 }
 
 func (p *publisher) publishAll() error {
@@ -56,10 +57,15 @@
 	defer p.mu.Unlock()
 	key := model.TeamKey(team)
 	revision, err := p.mesh.Publish(key, text)
-	if err == nil && good {
+	if err != nil {
+		return err
+	}
+	if good {
 		p.good[key] = revision
+	} else {
+		p.observer.Forbid(key, revision)
 	}
-	return err
+	return nil
 }
 
 // expected returns the least revision of each key that must be in force.
--- a/internal/standin/mesh/observer.go
+++ b/internal/standin/mesh/observer.go
@@ -24,28 +24,45 @@
 // Reports holds the status of each node that answered.
 type Reports map[string]status.Report
 
-// Observer reads the status of all nodes and checks that no node ever runs an
-// older version than before, also over its restarts.
+// Observer reads the status of all nodes and checks that no node ever runs a bad
+// version, or an older one than before, also over its restarts.
 type Observer struct {
 	mesh   *Mesh
 	client *status.Client
 
 	mu         sync.Mutex
 	last       map[string]status.Version
+	forbidden  map[keyRevision]bool
 	samples    int
 	violations []string
 }
 
+// keyRevision names one version of one document.
+type keyRevision struct {
+	key      model.Key
+	revision model.Revision
+}
+
 // NewObserver returns an observer of a mesh.
 func NewObserver(m *Mesh) *Observer {
 	return &Observer{
 		mesh:   m,
 		client: status.NewClient(sampleTimeout),
 		last:   make(map[string]status.Version),
+
+		forbidden: make(map[keyRevision]bool),
 	}
 }
 
-// Violations returns the returns to older versions seen so far.
+// Forbid tells that a version is bad, so that no node may ever run it.
+func (o *Observer) Forbid(key model.Key, revision model.Revision) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.forbidden[keyRevision{key, revision}] = true
+}
+
+// Violations returns the returns to older versions, and the bad versions in
+// force, seen so far.
 func (o *Observer) Violations() []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -115,7 +132,13 @@
 		if report.Version.Cut == 0 {
 			continue // a fresh process that has no configuration yet
 		}
-		for _, fault := range older(o.last[id], report.Version) {
+		faults := older(o.last[id], report.Version)
+		for key, revision := range report.Version.Running {
+			if o.forbidden[keyRevision{key, revision}] {
+				faults = append(faults, fmt.Sprintf("%s runs at bad version %d", key, revision))
+			}
+		}
+		for _, fault := range faults {
 			o.violations = append(o.violations, fmt.Sprintf("%s (incarnation %d): %s", id, report.Incarnation, fault))
 		}
 		o.last[id] = report.Version
