--- a/internal/decision/rank/exclusions.go
+++ b/internal/decision/rank/exclusions.go
@@ -19,7 +19,9 @@
 
 type exclusion struct {
 	failures int
-	until    time.Time
+	// silentUntil and busyUntil are the ends of the two kinds of exclusion.
+	silentUntil time.Time
+	busyUntil   time.Time
 }
 
 // NewExclusions returns an empty set.
@@ -27,20 +29,33 @@
 	return &Exclusions{byID: make(map[model.InstanceID]exclusion)}
 }
 
+// Evidence is what a node knows at one time of the others' ability to serve.
+type Evidence struct {
+	// Silent tells that a node did not answer; others take its place.
+	Silent Excluded
+	// Busy tells that a node answered but cannot serve yet; it keeps its place
+	// but another one is polled meanwhile. While a whole failure domain starts,
+	// all of its nodes are busy.
+	Busy Excluded
+}
+
+// Healthy is the evidence of a node that has seen no failure.
+func Healthy() Evidence { return Evidence{Silent: None, Busy: None} }
+
 // Fail excludes a node that did not answer, for longer after each failure, and
 // returns the end of the exclusion.
 func (e *Exclusions) Fail(id model.InstanceID, now time.Time, rng *rand.Rand) time.Time {
 	x := e.byID[id]
 	x.failures++
-	x.until = now.Add(exclusionPolicy.Delay(x.failures, rng))
+	x.silentUntil = now.Add(exclusionPolicy.Delay(x.failures, rng))
 	e.byID[id] = x
-	return x.until
+	return x.silentUntil
 }
 
 // Refuse excludes a node that answered but asked to be left alone until a time.
 func (e *Exclusions) Refuse(id model.InstanceID, until time.Time) {
 	x := e.byID[id]
-	x.until = until
+	x.busyUntil = until
 	e.byID[id] = x
 }
 
@@ -50,10 +65,10 @@
 // Clear forgets all failures.
 func (e *Exclusions) Clear() { clear(e.byID) }
 
-// At returns the set as of a time.
-func (e *Exclusions) At(now time.Time) Excluded {
-	return func(id model.InstanceID) bool {
-		x, ok := e.byID[id]
-		return ok && now.Before(x.until)
+// At returns the evidence as of a time.
+func (e *Exclusions) At(now time.Time) Evidence {
+	return Evidence{
+		Silent: func(id model.InstanceID) bool { return now.Before(e.byID[id].silentUntil) },
+		Busy:   func(id model.InstanceID) bool { return now.Before(e.byID[id].busyUntil) },
 	}
 }
--- a/internal/decision/rank/pace.go
+++ b/internal/decision/rank/pace.go
@@ -7,7 +7,7 @@
 	partnerInterval = 2 * time.Second
 	// minCompareInterval is the least time between two comparisons with a
 	// random node.
-	minCompareInterval = 5 * time.Second
+	minCompareInterval = 15 * time.Second
 	// compareTimePerMember lengthens the interval with the size of the mesh,
 	// because the bytes of a comparison grow with it.
 	compareTimePerMember = 1500 * time.Microsecond
--- a/internal/decision/rank/upstream.go
+++ b/internal/decision/rank/upstream.go
@@ -29,16 +29,20 @@
 // Decide returns the role of self. The upstream always precedes self in the
 // order by hash, so there is no cycle whatever other nodes see. The current
 // upstream is kept while it is near the ideal position.
-func Decide(view *members.View, self model.Self, current model.InstanceID, excluded Excluded) Role {
+func Decide(view *members.View, self model.Self, current model.InstanceID, seen Evidence) Role {
 	candidates := before(view, self)
-	if n := usable(candidates, excluded); n < Readers {
-		return Role{Reader: true, Place: n, Upstream: first(candidates, excluded)}
+	if n := usable(candidates, seen.Silent); n < Readers {
+		return Role{Reader: true, Place: n, Upstream: first(candidates, seen.Silent)}
 	}
 	ideal := parent(len(candidates))
-	if kept := keep(candidates, ideal, current); kept != nil && !excluded(kept.ID) {
+	unable := func(id model.InstanceID) bool { return seen.Silent(id) || seen.Busy(id) }
+	if kept := keep(candidates, ideal, current); kept != nil && !unable(kept.ID) {
 		return Role{Upstream: *kept}
 	}
-	return Role{Upstream: *choose(candidates, ideal, self, excluded)}
+	if able := choose(candidates, ideal, self, unable); able != nil {
+		return Role{Upstream: *able}
+	}
+	return Role{Upstream: *choose(candidates, ideal, self, seen.Silent)}
 }
 
 // parent returns the ideal upstream's position for a position that is not a
@@ -80,9 +84,8 @@
 	return nil
 }
 
-// choose returns the first usable candidate among the ideal upstream, its
-// upstreams up to a reader, the other readers and all others. There is one,
-// because at least Readers candidates are usable.
+// choose returns the first candidate that is not excluded among the ideal
+// upstream, its upstreams up to a reader, the other readers and all others.
 func choose(candidates []*model.Member, ideal int, self model.Self, excluded Excluded) *model.Member {
 	for position := ideal; ; position = parent(position) {
 		if !excluded(candidates[position].ID) {
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -24,8 +24,8 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
 			s := &script{t: t, rng: rand.New(rand.NewPCG(1, 2))}
+			defer func() { s.mesh.stopAll() }()
 			datadriven.RunTest(t, path, s.run)
-			s.mesh.stopAll()
 		})
 	})
 }
--- a/internal/service/exchange/announce.go
+++ b/internal/service/exchange/announce.go
@@ -58,7 +58,7 @@
 // announce queues records for the nodes that must hear of them. Own records
 // wait until there is such a node.
 func (s *Service) announce(records []model.Member) {
-	view, excluded := s.members.Load(), s.excluded()
+	view, excluded := s.members.Load(), s.evidence().Silent
 	reader := s.role.Load().reader
 	for _, record := range records {
 		targets := rank.AnnounceTargets(view, s.config.Self, reader, record.Domain, excluded)
--- a/internal/service/exchange/bootstrap.go
+++ b/internal/service/exchange/bootstrap.go
@@ -20,10 +20,10 @@
 	bootstrapRetryMax = 450 * time.Millisecond
 	// firstReadSpread is the time over which the seeds of a mesh that starts
 	// from nothing begin to read the platform.
-	firstReadSpread = 200 * time.Millisecond
+	firstReadSpread = time.Second
 	// laterReadSpread is the time over which all others do, if no seed has
-	// answered until then: 21,000 nodes make 1,750 calls a second.
-	laterReadSpread = 12 * time.Second
+	// answered until then: 21,000 nodes make 1,050 calls a second.
+	laterReadSpread = 20 * time.Second
 )
 
 // runBootstrap asks other nodes for their state until this node has one.
--- a/internal/service/exchange/planner.go
+++ b/internal/service/exchange/planner.go
@@ -176,7 +176,7 @@
 		next.scope = control.ReadInstances
 		return
 	}
-	decided := rank.Decide(s.members.Load(), s.config.Self, old.upstream.id, s.excluded())
+	decided := rank.Decide(s.members.Load(), s.config.Self, old.upstream.id, s.evidence())
 	next.reader, next.place = decided.Reader, decided.Place
 	next.upstream = peerOf(decided.Upstream)
 	if decided.Reader || s.planner.failures >= orphanAfter {
@@ -189,4 +189,4 @@
 	return slices.ContainsFunc(s.members.Load().All(), func(m model.Member) bool { return m.ListedAt > 0 })
 }
 
-func (s *Service) excluded() rank.Excluded { return s.planner.exclusions.At(s.clock.Now()) }
+func (s *Service) evidence() rank.Evidence { return s.planner.exclusions.At(s.clock.Now()) }
--- a/internal/service/exchange/poller.go
+++ b/internal/service/exchange/poller.go
@@ -63,13 +63,13 @@
 // reportFailure lets the control loop choose another upstream, and waits if
 // there is none.
 func (s *Service) reportFailure(ctx context.Context, p peer, err error) {
-	var refused *refusedError
+	failed := pollFailed{peer: p, err: err, handled: make(chan struct{})}
 	delay := failureDelay
+	var refused *refusedError
 	if errors.As(err, &refused) {
+		failed.retryAfter = refused.retryAfter
 		delay = refused.retryAfter
 	}
-	s.cursors.forget(p.address)
-	failed := pollFailed{peer: p, err: err, refused: refused != nil, handled: make(chan struct{})}
 	if s.loop.Post(ctx, failed) == nil {
 		waitFor(ctx, failed.handled)
 		_ = clock.Wait(ctx, s.clock, delay)
--- a/internal/service/exchange/results.go
+++ b/internal/service/exchange/results.go
@@ -22,9 +22,9 @@
 type pollFailed struct {
 	peer peer
 	err  error
-	// refused means that the peer answered but asked for patience.
-	refused bool
-	handled chan struct{}
+	// retryAfter is not 0 if the peer answered but asked for patience.
+	retryAfter time.Duration
+	handled    chan struct{}
 }
 
 // MessageName implements kernel.Message.
@@ -50,19 +50,18 @@
 	}
 }
 
-// handlePollFailed excludes a failed peer. A refusal counts as a failure only
-// for a configured node: while a whole domain starts, nobody can serve yet.
+// handlePollFailed excludes a peer for a time and decides whom to poll instead.
 func (s *Service) handlePollFailed(m pollFailed) {
 	defer close(m.handled)
-	if m.refused && !s.planner.configured {
-		return
-	}
 	now := s.clock.Now()
-	until := s.planner.exclusions.Fail(m.peer.id, now, s.planner.rng)
-	if !m.refused {
+	until := now.Add(m.retryAfter)
+	if m.retryAfter > 0 {
+		s.planner.exclusions.Refuse(m.peer.id, until)
+	} else {
+		until = s.planner.exclusions.Fail(m.peer.id, now, s.planner.rng)
 		s.planner.failures++
+		s.timeline.Record(timeline.KindUpstreamFailed, m.peer.name()+": "+m.err.Error())
 	}
-	s.timeline.Record(timeline.KindUpstreamFailed, m.peer.name()+": "+m.err.Error())
 	s.loop.After(until.Sub(now)+time.Millisecond, replan{})
 	s.decide()
 }
--- a/internal/service/exchange/server.go
+++ b/internal/service/exchange/server.go
@@ -40,13 +40,13 @@
 func (s *Service) Poll(ctx context.Context, request *wire.PollRequest) (*wire.PollResponse, error) {
 	s.timeline.Clock().Observe(timeline.Timestamp(request.GetTime()))
 	if !s.polls.tryAcquire() {
-		return s.refusal(), nil
+		return s.refusal(model.InstanceID(request.GetNode())), nil
 	}
 	defer s.polls.release()
 	asked := parseQuery(request)
 	if asked.complete() {
 		if !s.transfers.tryAcquire() {
-			return s.refusal(), nil
+			return s.refusal(asked.from), nil
 		}
 		defer s.transfers.release()
 	}
@@ -55,6 +55,7 @@
 
 // query is a received question in the types of the decisions.
 type query struct {
+	from      model.InstanceID
 	base      model.Revision
 	whole     []model.Key
 	cursor    members.Cursor
@@ -66,6 +67,7 @@
 func parseQuery(request *wire.PollRequest) query {
 	wait := time.Duration(request.GetWaitMilliseconds()) * time.Millisecond
 	return query{
+		from:      model.InstanceID(request.GetNode()),
 		base:      model.Revision(request.GetCutRevision()),
 		whole:     wireconv.KeysFromWire(request.GetWholeKeys()),
 		cursor:    members.Cursor{Epoch: request.GetMemberEpoch(), Position: request.GetMemberPosition()},
@@ -89,7 +91,7 @@
 		view, viewChanged := s.members.Watch()
 		_, synchronised := s.synchronised.Watch()
 		if state == nil || state.Cut.Revision == 0 {
-			return s.refusal(), nil
+			return s.refusal(q.from), nil
 		}
 		news := hasNews(state, view, q)
 		if q.wait <= 0 || (news && s.watchdog.Fresh()) {
@@ -144,20 +146,25 @@
 }
 
 // refusal asks the caller for patience and names other nodes that it may ask.
-func (s *Service) refusal() *wire.PollResponse {
+func (s *Service) refusal(to model.InstanceID) *wire.PollResponse {
 	after := minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
 	return &wire.PollResponse{
 		RetryAfterMilliseconds: uint32(after.Milliseconds()),
-		Members:                wireconv.MembersToWire(s.hints()),
+		Members:                wireconv.MembersToWire(s.hints(to)),
 		Time:                   uint64(s.timeline.Clock().Now()),
 	}
 }
 
-func (s *Service) hints() []model.Member {
-	var out []model.Member
+// hints returns random nodes of the caller's failure domain, as far as known.
+func (s *Service) hints(to model.InstanceID) []model.Member {
 	view, rng := s.members.Load(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	caller := s.config.Self
+	if known, ok := view.Get(to); ok {
+		caller = model.Self{ID: known.ID, Domain: known.Domain}
+	}
+	var out []model.Member
 	for range maxHints {
-		if m, ok := rank.RandomPartner(view, s.config.Self, rng); ok {
+		if m, ok := rank.RandomPartner(view, caller, rng); ok {
 			out = append(out, m)
 		}
 	}
--- a/internal/service/source/instances.go
+++ b/internal/service/source/instances.go
@@ -12,8 +12,7 @@
 
 // watchInstances posts what changes in the list of instances until the context
 // ends. The first listing of an order is not held back.
-func (s *Service) watchInstances(ctx context.Context, current order) {
-	retry := retrier{service: s, rng: s.random("instances")}
+func (s *Service) watchInstances(ctx context.Context, retry *retrier, current order) {
 	var wait time.Duration
 	for ctx.Err() == nil {
 		received, err := s.listInstances(ctx, wait)
@@ -24,6 +23,7 @@
 		retry.succeeded()
 		wait = watchWait
 		s.postMembers(ctx, received, current)
+		s.pace(ctx)
 	}
 }
 
--- a/internal/service/source/keys.go
+++ b/internal/service/source/keys.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/reading"
 	"github.com/galenalever/galenalever/internal/kernel"
@@ -13,25 +14,30 @@
 
 // watchKeys reads changed values and posts a cut after each change, until the
 // context ends. The first listing of an order is not held back.
-func (s *Service) watchKeys(ctx context.Context, current order) {
-	retry := retrier{service: s, rng: s.random("keys")}
+func (s *Service) watchKeys(ctx context.Context, retry *retrier, current order) {
 	assembler := reading.NewAssembler(s.base())
 	var wait time.Duration
 	for ctx.Err() == nil {
 		if base := s.base(); base.Revision > assembler.After() {
 			assembler = reading.NewAssembler(base)
 		}
-		if err := s.assemble(ctx, assembler, wait, current); err != nil {
+		if err := s.assemble(ctx, assembler, wait); err != nil {
 			retry.failed(ctx, err)
 			continue
 		}
 		retry.succeeded()
 		s.postCut(ctx, assembler, current)
+		s.pace(ctx)
 		assembler = reading.NewAssembler(s.base())
 		wait = watchWait
 	}
 }
 
+// pace waits between two listings.
+func (s *Service) pace(ctx context.Context) {
+	_ = clock.Wait(ctx, s.clock, time.Duration(1+s.place.Load())*listInterval)
+}
+
 func (s *Service) postCut(ctx context.Context, assembler *reading.Assembler, current order) {
 	var messages []kernel.Message
 	if cut, ok := assembler.Cut(); ok {
@@ -51,14 +57,14 @@
 // assemble lists keys and reads values until the cut is consistent, or until a
 // reader that comes before this one has delivered the same. What was read before
 // an error is kept for the next call.
-func (s *Service) assemble(ctx context.Context, a *reading.Assembler, wait time.Duration, current order) error {
+func (s *Service) assemble(ctx context.Context, a *reading.Assembler, wait time.Duration) error {
 	if _, unread := a.Next(); !unread {
 		if err := s.listKeys(ctx, a, wait); err != nil {
 			return err
 		}
 	}
 	if _, unread := a.Next(); unread {
-		s.awaitOthers(ctx, a.After(), current)
+		s.awaitOthers(ctx, a.After())
 		if s.base().Revision >= a.After() {
 			return nil
 		}
@@ -82,10 +88,10 @@
 
 // awaitOthers leaves a listed change to the readers that come before this one,
 // for a time that depends on their number.
-func (s *Service) awaitOthers(ctx context.Context, listed model.Revision, current order) {
+func (s *Service) awaitOthers(ctx context.Context, listed model.Revision) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timer := s.clock.AfterFunc(time.Duration(current.place)*placeDelay, cancel)
+	timer := s.clock.AfterFunc(time.Duration(s.place.Load())*placeDelay, cancel)
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		state, changed := s.states.Watch()
--- a/internal/service/source/source.go
+++ b/internal/service/source/source.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -27,10 +28,17 @@
 	// placeDelay is how long a reader leaves changed values to each reader that
 	// comes before it.
 	placeDelay = 750 * time.Millisecond
+	// listInterval is the least time between two listings by the first reader;
+	// later ones wait longer. Changes that come together are read together.
+	listInterval = time.Second
+	// settleTime bounds the random delay, for each place, before a node that
+	// became a reader makes its first call. In a storm of restarts many nodes
+	// are readers for a moment.
+	settleTime = 2 * time.Second
 	// callRate and callBurst bound the calls of one process. The readers of 11
-	// failure domains together stay below 1,000 calls a second.
-	callRate  = rate.Limit(30)
-	callBurst = 30
+	// failure domains together stay below 700 calls a second.
+	callRate  = rate.Limit(20)
+	callBurst = 10
 )
 
 // retryPolicy bounds the delay after a failed call.
@@ -71,8 +79,10 @@
 	timeline recorder
 	states   *kernel.Snapshot[*model.Configuration]
 	members  *kernel.Snapshot[*members.View]
-	// order is written on the control loop.
-	order   *kernel.Snapshot[order]
+	// order and place are written on the control loop.
+	order *kernel.Snapshot[order]
+	// place is the number of readers that read before this one.
+	place   atomic.Int64
 	limiter *rate.Limiter
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
@@ -87,8 +97,6 @@
 // order is what the I/O goroutines have to read.
 type order struct {
 	scope control.ReadScope
-	// place is the number of readers that read before this one.
-	place int
 	// round grows with every pause, after which all is read again.
 	round uint64
 }
@@ -139,8 +147,8 @@
 // Start implements kernel.Starter.
 func (s *Service) Start(ctx context.Context) error {
 	ctx, s.cancel = context.WithCancel(ctx)
-	s.tasks.Go(func() { s.run(ctx, control.ReadAll, s.watchKeys) })
-	s.tasks.Go(func() { s.run(ctx, control.ReadInstances, s.watchInstances) })
+	s.tasks.Go(func() { s.run(ctx, control.ReadAll, s.random("keys"), s.watchKeys) })
+	s.tasks.Go(func() { s.run(ctx, control.ReadInstances, s.random("instances"), s.watchInstances) })
 	return nil
 }
 
@@ -153,7 +161,11 @@
 
 func (s *Service) handleScope(m control.ReadScopeChanged) {
 	old := s.order.Load()
-	s.order.Store(order{scope: m.Scope, place: m.Place, round: old.round})
+	s.place.Store(int64(m.Place))
+	if m.Scope == old.scope {
+		return
+	}
+	s.order.Store(order{scope: m.Scope, round: old.round})
 	s.recordScope(old.scope, m.Scope)
 }
 
@@ -196,7 +208,8 @@
 
 // run calls watch whenever the scope includes need, until the context ends.
 // The context of watch ends when the order changes.
-func (s *Service) run(ctx context.Context, need control.ReadScope, watch func(context.Context, order)) {
+func (s *Service) run(ctx context.Context, need control.ReadScope, rng *rand.Rand, watch func(context.Context, *retrier, order)) {
+	retry := &retrier{service: s, rng: rng}
 	for ctx.Err() == nil {
 		current, changed := s.order.Watch()
 		if current.scope < need {
@@ -208,11 +221,22 @@
 			defer cancel()
 			waitFor(orderCtx, changed)
 		})
-		watch(orderCtx, current)
+		s.settle(orderCtx, rng)
+		watch(orderCtx, retry, current)
 		cancel()
 	}
 }
 
+// settle delays the first call of a node that has a configuration; without one
+// there is nothing to wait for.
+func (s *Service) settle(ctx context.Context, rng *rand.Rand) {
+	if s.base().Revision == 0 {
+		return
+	}
+	spread := time.Duration(1+s.place.Load()) * settleTime
+	_ = clock.Wait(ctx, s.clock, time.Duration(rng.Int64N(int64(spread))))
+}
+
 // admit waits until the process may make another call.
 func (s *Service) admit(ctx context.Context) error {
 	now := s.clock.Now()
