Prove the gate: not run, at most once, drain, crashing request

Change: scenarios with real loopback servers and a ledger that counts runs from outside; several gates wired together for the request that crashes servers.

--- /dev/null
+++ b/internal/service/gate/node_test.go
@@ -0,0 +1,118 @@
+package gate_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/galenalever/galenalever/internal/control"
+	decision "github.com/galenalever/galenalever/internal/decision/quarantine"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/service/backend"
+	"github.com/galenalever/galenalever/internal/service/gate"
+	"github.com/galenalever/galenalever/internal/service/quarantine"
+	"github.com/galenalever/galenalever/internal/timeline"
+	"github.com/galenalever/galenalever/internal/wire"
+)
+
+const serviceName = model.ServiceName("pemesanan/pemesanan")
+
+// The partners of the gate that these tests replace.
+type (
+	fakeTimeline   struct{}
+	fakeMetrics    struct{}
+	fakeMembership struct{ list *[]model.Member }
+	fakeWatchdog   struct{ stale atomic.Bool }
+	fakeConfig     struct {
+		snapshot *kernel.Snapshot[*model.Configuration]
+	}
+	fakeExchange struct {
+		wire.Exchange
+		suspects *quarantine.Service
+	}
+)
+
+func (fakeTimeline) Name() string                                        { return control.Timeline }
+func (fakeTimeline) Record(timeline.Kind, string)                        {}
+func (fakeMetrics) Name() string                                         { return control.Metrics }
+func (fakeMetrics) Scope() tally.Scope                                   { return tally.NoopScope }
+func (fakeMembership) Name() string                                      { return control.Membership }
+func (f fakeMembership) ServiceMembers(model.ServiceName) []model.Member { return *f.list }
+func (*fakeWatchdog) Name() string                                       { return control.Watchdog }
+func (f *fakeWatchdog) Fresh() bool                                      { return !f.stale.Load() }
+func (fakeConfig) Name() string                                          { return control.Config }
+func (f fakeConfig) Configuration() *kernel.Snapshot[*model.Configuration] {
+	return f.snapshot
+}
+
+// Suspect is what the exchange service does with peers' notices.
+func (f fakeExchange) Suspect(_ context.Context, in *wire.SuspectRequest) (*wire.SuspectResponse, error) {
+	var suspects []decision.Suspect
+	for _, s := range in.Suspects {
+		var crashed []model.InstanceID
+		for _, id := range s.Crashed {
+			crashed = append(crashed, model.InstanceID(id))
+		}
+		expires := time.Unix(1000, 0).Add(time.Duration(s.ExpiresInMilliseconds) * time.Millisecond)
+		suspects = append(suspects, decision.Suspect{Fingerprint: decision.Fingerprint(s.Fingerprint), Crashed: crashed, Expires: expires})
+	}
+	f.suspects.HandleSuspects(in.Node, suspects)
+	return &wire.SuspectResponse{}, nil
+}
+
+// node is a gate with its partners, beside a server.
+type node struct {
+	server   *backendServer
+	kernel   *kernel.Kernel
+	gate     *gate.Service
+	backend  *backend.Service
+	watchdog *fakeWatchdog
+	address  string
+	control  *http.Server
+	stopped  chan error
+}
+
+func listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	return l
+}
+
+func configurationOf(service *model.Service) *model.Configuration {
+	return &model.Configuration{Tree: &model.Tree{Services: map[model.ServiceName]*model.Service{serviceName: service}}}
+}
+
+func startNode(name string, clk *testClock, l *ledger, members *[]model.Member, service *model.Service) *node {
+	n := &node{server: newBackendServer(name, l), watchdog: &fakeWatchdog{}, stopped: make(chan error, 1)}
+	traffic, peers := listen(), listen()
+	n.address = traffic.Addr().String()
+	self := model.Self{ID: model.InstanceID(name), Service: serviceName, Domain: "jkt", Incarnation: 7}
+	self.Addresses = model.Addresses{Traffic: n.address, Control: peers.Addr().String()}
+	*members = append(*members, self.Member(model.PresenceReady))
+	n.backend = backend.New(backend.Config{URL: "http://" + n.server.address, HealthPath: "/healthz", HealthInterval: checkInterval})
+	suspects := quarantine.New(quarantine.Config{Self: self})
+	n.gate = gate.New(gate.Config{Self: self, Listener: traffic})
+	n.control = &http.Server{Handler: wire.NewExchangeServer(fakeExchange{suspects: suspects})}
+	go func() { _ = n.control.Serve(peers) }()
+	n.kernel = kernel.New(clk, slog.New(slog.DiscardHandler))
+	config := fakeConfig{snapshot: kernel.NewSnapshot(configurationOf(service))}
+	must(n.kernel.Register(fakeTimeline{}, fakeMetrics{}, n.watchdog, fakeMembership{list: members}, config, n.backend, suspects, n.gate))
+	must(n.kernel.Start(context.Background()))
+	must(n.kernel.Loop().Post(context.Background(), control.Synchronised{}))
+	waitFor(func() bool { return suspects.Prepared() && n.backend.Available() })
+	return n
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/internal/service/gate/server_test.go
@@ -0,0 +1,125 @@
+package gate_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// ledger counts from outside how often each request ran on each server.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (l *ledger) add(server, request string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[request+" on "+server]++
+}
+
+func (l *ledger) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var lines []string
+	for run, n := range l.runs {
+		lines = append(lines, fmt.Sprintf("%s: %d\n", run, n))
+	}
+	slices.Sort(lines)
+	if len(lines) == 0 {
+		return "nothing ran\n"
+	}
+	return strings.Join(lines, "")
+}
+
+// backendServer stands in for the server beside a node. The path of a request
+// selects what it does.
+type backendServer struct {
+	name    string
+	ledger  *ledger
+	address string
+	http    *http.Server
+	mu      sync.Mutex
+	arrived map[string]chan struct{}
+	held    map[string]chan struct{}
+}
+
+func newBackendServer(name string, l *ledger) *backendServer {
+	b := &backendServer{name: name, ledger: l, address: "127.0.0.1:0", arrived: map[string]chan struct{}{}, held: map[string]chan struct{}{}}
+	b.start()
+	return b
+}
+
+// start listens, after a crash on the same address as before.
+func (b *backendServer) start() {
+	listener, err := net.Listen("tcp", b.address)
+	if err != nil {
+		panic(err)
+	}
+	b.address = listener.Addr().String()
+	b.http = &http.Server{Handler: b}
+	go func() { _ = b.http.Serve(listener) }()
+}
+
+// crash closes the listener and every connection, as the end of the process
+// does.
+func (b *backendServer) crash() { _ = b.http.Close() }
+
+// signal returns the channel for a request in one of the maps.
+func (b *backendServer) signal(m map[string]chan struct{}, id string) chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if m[id] == nil {
+		m[id] = make(chan struct{})
+	}
+	return m[id]
+}
+
+// announce tells the test that a request arrived for the first time.
+func (b *backendServer) announce(id string) {
+	arrived := b.signal(b.arrived, id)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-arrived:
+	default:
+		close(arrived)
+	}
+}
+
+func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		return
+	}
+	id := r.Header.Get("X-Test-Id")
+	b.ledger.add(b.name, id)
+	b.announce(id)
+	switch r.URL.Path {
+	case "/hold":
+		<-b.signal(b.held, id)
+	case "/kill":
+		b.crash()
+		return
+	case "/drop":
+		conn, _, _ := http.NewResponseController(w).Hijack()
+		_ = conn.Close()
+		return
+	case "/truncate":
+		if r.Method == http.MethodGet {
+			w.Header().Set("Content-Length", "100000")
+		}
+		_, _ = w.Write(make([]byte, 40000)) // in chunks if no length is set
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set("Galena-Outcome", "forged")
+	fmt.Fprintf(w, "%s done for %s, %d bytes", b.name, id, len(body))
+}
