--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -4,6 +4,7 @@
 package call
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"net/url"
@@ -63,3 +64,23 @@
 	// Trailer is filled when the body has been read.
 	Trailer http.Header
 }
+
+// ReadWhole reads a body of known length up to limit bytes into memory. It
+// returns an error if the body breaks. Longer bodies remain streams.
+func (r *Response) ReadWhole(limit int64) error {
+	if r.Length <= 0 || r.Length > limit || r.Body == http.NoBody {
+		return nil
+	}
+	data := make([]byte, r.Length)
+	if _, err := io.ReadFull(r.Body, data); err != nil {
+		return err
+	}
+	r.Body = &readBody{Reader: bytes.NewReader(data), Closer: r.Body}
+	return nil
+}
+
+// readBody is a body that was read before.
+type readBody struct {
+	io.Reader
+	io.Closer
+}
--- a/internal/decision/retry/retry.go
+++ b/internal/decision/retry/retry.go
@@ -66,6 +66,10 @@
 	Delay  time.Duration
 }
 
+// longestDelay bounds the wait before an attempt. A caller who would have to
+// wait longer is told when to come back.
+const longestDelay = 250 * time.Millisecond
+
 // maxQuestions bounds how often the same gate is asked about one request.
 const maxQuestions = 4
 
@@ -77,7 +81,7 @@
 // Decide returns what follows an attempt.
 func Decide(q Request, p Progress, r Result, random Source) Decision {
 	d := decide(q, p, r, random)
-	if d.Action != Finish && d.Delay >= p.TimeLeft {
+	if d.Delay >= min(p.TimeLeft, longestDelay) {
 		return Decision{Action: Finish}
 	}
 	return d
--- a/internal/service/forward/attempt.go
+++ b/internal/service/forward/attempt.go
@@ -58,9 +58,18 @@
 		return r
 	}
 	r.response = newResponse(response, cancel)
+	if err := r.response.ReadWhole(wholeLimit); err != nil {
+		failed := failure(ctx, a.request.Body, observer.giveUp())
+		_ = r.response.Body.Close()
+		return finished(failed, elapsed)
+	}
 	return r
 }
 
+// wholeLimit is the size in bytes up to which an answer of known length is read
+// to its end before it is passed on, so that a broken one can be mended.
+const wholeLimit = 64 << 10
+
 // newRequest encodes the attempt for the gate.
 func (s *Service) newRequest(ctx context.Context, a attempt, observer *writeObserver) *http.Request {
 	q := a.request
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -11,10 +11,6 @@
 	"github.com/galenalever/galenalever/internal/model"
 )
 
-// wholeLimit is the size in bytes up to which the answers of hedged attempts
-// are compared whole; of a larger answer the first bytes decide.
-const wholeLimit = 64 << 10
-
 // mayHedge reports whether a second attempt may run beside the next one.
 func (r *series) mayHedge() bool {
 	q := r.request
--- a/internal/service/ingress/gate_test.go
+++ b/internal/service/ingress/gate_test.go
@@ -13,31 +13,81 @@
 	"github.com/galenalever/galenalever/internal/model"
 )
 
-// fakeGate stands for the gate beside one server. It treats requests by a
-// script, one line for each, and answers them once the script is empty. It
-// remembers what it ran by request ID, as a real gate does.
+// script holds what the gates do with the requests to come, one line for each,
+// whichever gate gets it. An empty script answers.
+type script struct {
+	mu    sync.Mutex
+	lines []string
+	held  chan string   // receives the gate's name for each request that is held
+	free  chan struct{} // one value ends one hold
+	// ledger is what the gates recorded; recorded receives each line of it.
+	ledger   []string
+	recorded chan string
+}
+
+func (s *script) set(lines []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lines = lines
+}
+
+func (s *script) record(line string) {
+	s.mu.Lock()
+	s.ledger = append(s.ledger, line)
+	s.mu.Unlock()
+	s.recorded <- line
+}
+
+// take returns the ledger and empties it.
+func (s *script) take() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ledger := s.ledger
+	s.ledger = nil
+	for len(s.recorded) > 0 {
+		<-s.recorded
+	}
+	return ledger
+}
+
+func newScript() *script {
+	const enough = 1024
+	return &script{
+		held: make(chan string, enough), free: make(chan struct{}, enough), recorded: make(chan string, enough),
+	}
+}
+
+func (s *script) next() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.lines) == 0 {
+		return "answer"
+	}
+	line := s.lines[0]
+	s.lines = s.lines[1:]
+	return line
+}
+
+// fakeGate stands for the gate beside one server. It treats requests by the
+// script and remembers what it ran by request ID, as a real gate does.
 type fakeGate struct {
 	name        string
 	incarnation model.Incarnation
 	server      *http.Server
 	listener    net.Listener
+	script      *script
 
-	mu     sync.Mutex
-	script []string
-	ledger []string
-	ran    map[model.RequestID]bool
-	held   chan struct{} // receives one value for each request that is held
-	free   chan struct{} // one value ends one hold
+	mu  sync.Mutex
+	ran map[model.RequestID]bool
 }
 
-func newFakeGate(name string, incarnation model.Incarnation) (*fakeGate, error) {
+func newFakeGate(name string, incarnation model.Incarnation, lines *script) (*fakeGate, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	g := &fakeGate{
-		name: name, incarnation: incarnation, listener: listener, ran: make(map[model.RequestID]bool),
-		held: make(chan struct{}, 16), free: make(chan struct{}, 16),
+		name: name, incarnation: incarnation, listener: listener, script: lines, ran: make(map[model.RequestID]bool),
 	}
 	g.server = &http.Server{Handler: g, ReadHeaderTimeout: time.Minute}
 	go func() { _ = g.server.Serve(listener) }()
@@ -45,28 +95,21 @@
 }
 
 func (g *fakeGate) record(format string, args ...any) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.ledger = append(g.ledger, fmt.Sprintf(format, args...))
+	g.script.record(g.name + ": " + fmt.Sprintf(format, args...))
 }
 
-// next returns the script line for a request and whether the request is one
-// that ran before.
-func (g *fakeGate) next(id model.RequestID) (line string, replay bool) {
+// seen reports whether a request with the ID ran before.
+func (g *fakeGate) seen(id model.RequestID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	line = "answer"
-	if len(g.script) > 0 {
-		line, g.script = g.script[0], g.script[1:]
-	}
-	return line, g.ran[id]
+	return g.ran[id]
 }
 
 func (g *fakeGate) run(q hop.Request, body []byte) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.ran[q.ID] = true
-	g.ledger = append(g.ledger, fmt.Sprintf("ran %s attempt %d body %d", q.ID, q.Attempt, len(body)))
+	g.mu.Unlock()
+	g.record("ran %s attempt %d body %d", q.ID, q.Attempt, len(body))
 }
 
 // ServeHTTP implements http.Handler.
@@ -75,8 +118,7 @@
 	if !ok {
 		g.record("request without the headers of a node")
 	}
-	line, replay := g.next(q.ID)
-	verb, argument, _ := strings.Cut(line, " ")
+	verb, argument, _ := strings.Cut(g.script.next(), " ")
 	if q.Incarnation != 0 && q.Incarnation != g.incarnation {
 		verb, argument = "refuse", string(model.ReasonWrongIncarnation)
 	}
@@ -92,7 +134,7 @@
 		g.record("broken body after %d bytes", len(body))
 		panic(http.ErrAbortHandler)
 	}
-	if replay {
+	if g.seen(q.ID) {
 		g.record("replayed %s", q.ID)
 	} else {
 		g.run(q, body)
@@ -122,9 +164,9 @@
 	case "drop": // ran, but the answer is lost
 		panic(http.ErrAbortHandler)
 	case "hold":
-		g.held <- struct{}{}
+		g.script.held <- g.name
 		select {
-		case <-g.free:
+		case <-g.script.free:
 		case <-r.Context().Done():
 			g.record("cancelled %s", q.ID)
 			return
--- a/internal/service/ingress/mesh_test.go
+++ b/internal/service/ingress/mesh_test.go
@@ -35,6 +35,7 @@
 	balancer   *balancer.Service
 	tree       *model.Tree
 	gates      map[string]*fakeGate
+	script     *script
 	url        string
 	calls      map[string]chan string
 	cancels    map[string]context.CancelFunc
@@ -63,6 +64,7 @@
 		watchdog:   &fakeWatchdog{},
 		timeline:   &fakeTimeline{},
 		tree:       &model.Tree{Services: make(map[model.ServiceName]*model.Service)},
+		script:     newScript(),
 		gates:      make(map[string]*fakeGate),
 		calls:      make(map[string]chan string),
 		cancels:    make(map[string]context.CancelFunc),
--- a/internal/service/ingress/scenario_test.go
+++ b/internal/service/ingress/scenario_test.go
@@ -1,9 +1,11 @@
 package ingress_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -47,13 +49,17 @@
 		"finish":   func(m *mesh, d *datadriven.TestData) string { return <-m.calls[text(m, d, "id", "")] },
 		"cancel":   func(m *mesh, d *datadriven.TestData) string { m.cancels[text(m, d, "id", "")](); return "" },
 		"stopped":  func(m *mesh, _ *datadriven.TestData) string { return fmt.Sprint(<-m.stopped) },
-		"held":     func(m *mesh, d *datadriven.TestData) string { <-m.gate(d).held; return "" },
-		"release":  func(m *mesh, d *datadriven.TestData) string { m.gate(d).free <- struct{}{}; return "" },
+		"held":     func(m *mesh, _ *datadriven.TestData) string { return <-m.script.held },
+		"release":  func(m *mesh, _ *datadriven.TestData) string { m.script.free <- struct{}{}; return "" },
 		"advance":  (*mesh).cmdAdvance,
 		"presence": (*mesh).cmdPresence,
 		"ledger":   (*mesh).cmdLedger,
 		"stop":     (*mesh).cmdStop,
 		"watchdog": (*mesh).cmdWatchdog,
+		"seen":     (*mesh).cmdSeen,
+		"gone":     (*mesh).cmdGone,
+		"repeat":   (*mesh).cmdRepeat,
+		"raw":      (*mesh).cmdRaw,
 		"events":   func(m *mesh, _ *datadriven.TestData) string { return strings.Join(m.timeline.events, "\n") },
 	}
 }
@@ -76,14 +82,6 @@
 	return v
 }
 
-func (m *mesh) gate(d *datadriven.TestData) *fakeGate {
-	g, ok := m.gates[text(m, d, "gate", "")]
-	if !ok {
-		d.Fatalf(m.t.(*testing.T), "unknown gate")
-	}
-	return g
-}
-
 func (m *mesh) cmdService(d *datadriven.TestData) string {
 	name := model.ServiceName(text(m, d, "name", ""))
 	m.tree.Services[name] = &model.Service{
@@ -115,7 +113,7 @@
 	incarnation := model.Incarnation(number(m, d, "incarnation", 7))
 	address := "127.0.0.1:1" // nothing listens there
 	if !d.HasArg("down") {
-		g, err := newFakeGate(name, incarnation)
+		g, err := newFakeGate(name, incarnation, m.script)
 		if err != nil {
 			m.t.Fatal(err)
 		}
@@ -132,10 +130,7 @@
 }
 
 func (m *mesh) cmdScript(d *datadriven.TestData) string {
-	g := m.gate(d)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.script = strings.Split(d.Input, "\n")
+	m.script.set(strings.Split(d.Input, "\n"))
 	return ""
 }
 
@@ -164,20 +159,64 @@
 	return ""
 }
 
-func (m *mesh) cmdLedger(*datadriven.TestData) string {
-	var lines []string
-	for name, g := range m.gates {
-		g.mu.Lock()
-		for _, entry := range g.ledger {
-			lines = append(lines, name+": "+entry)
-		}
-		g.ledger = nil
-		g.mu.Unlock()
+// cmdLedger prints what the gates recorded since the last time.
+func (m *mesh) cmdLedger(d *datadriven.TestData) string {
+	lines := m.script.take()
+	if d.HasArg("count") {
+		return strconv.Itoa(len(lines))
 	}
 	slices.Sort(lines)
 	return strings.Join(lines, "\n")
 }
 
+// cmdSeen waits until the gates recorded a word, count times.
+func (m *mesh) cmdSeen(d *datadriven.TestData) string {
+	word := text(m, d, "what", "")
+	for range number(m, d, "count", 1) {
+		for !strings.Contains(<-m.script.recorded, word) {
+		}
+	}
+	return ""
+}
+
+// cmdGone closes a gate with all its connections.
+func (m *mesh) cmdGone(d *datadriven.TestData) string {
+	_ = m.gates[text(m, d, "gate", "")].server.Close()
+	return ""
+}
+
+// cmdRepeat makes calls whose first attempts all meet the same script line.
+func (m *mesh) cmdRepeat(d *datadriven.TestData) string {
+	var last string
+	line := d.Input
+	d.Input = ""
+	for range number(m, d, "times", 1) {
+		m.script.set([]string{line})
+		last = m.call(context.Background(), d)
+	}
+	return last
+}
+
+// cmdRaw sends bytes that no client library would send, and ends the stream
+// unless it is to stay open.
+func (m *mesh) cmdRaw(d *datadriven.TestData) string {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(m.url, "http://"))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, strings.ReplaceAll(d.Input, "\n", "\r\n")+"\r\n\r\n")
+	if !d.HasArg("open") {
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "no answer: " + cause(err)
+	}
+	defer response.Body.Close()
+	return describe(response)
+}
+
 // cmdStop begins the shutdown of the node and waits until it refuses new
 // connections.
 func (m *mesh) cmdStop(*datadriven.TestData) string {
@@ -211,6 +250,9 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
+	if n := number(m, d, "header-bytes", 0); n > 0 {
+		r.Header.Set("X-Large", strings.Repeat("x", n))
+	}
 	for line := range strings.Lines(d.Input) {
 		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
 		r.Header.Add(name, value)
