Notice nodes that end by themselves

In a trial a node logged its addresses and then ended, because a service did not find its partner; the demo waited 25 s and told nothing. The observer now stops at once with the node's log.

--- /dev/null
+++ b/internal/standin/chaos/chaos_test.go
@@ -0,0 +1,29 @@
+package chaos_test
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/standin/chaos"
+)
+
+// TestPromisesHoldUnderFailures runs one short fixed seed with real processes.
+// "make chaos" runs longer ones.
+func TestPromisesHoldUnderFailures(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts 14 processes")
+	}
+	bin := t.TempDir()
+	program := filepath.Join(bin, "galenaleverd")
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", program,
+		"github.com/galenalever/galenalever/cmd/galenaleverd")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("building the daemon: %v\n%s", err, out)
+	}
+	config := chaos.Config{Bin: bin, Seed: 1, Duration: 10 * time.Second, Out: t.Output()}
+	if err := chaos.Run(t.Context(), config); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/standin/mesh/mesh.go
+++ b/internal/standin/mesh/mesh.go
@@ -119,6 +119,16 @@
 	return errors.Join(errs...)
 }
 
+// failure returns the failure of the first node whose process ended by itself.
+func (m *Mesh) failure() error {
+	for _, n := range m.Nodes {
+		if err := n.Failure(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // PlatformURL returns the address at which nodes read the platform.
 func (m *Mesh) PlatformURL() string { return "http://" + m.listener.Addr().String() }
 
--- a/internal/standin/mesh/node.go
+++ b/internal/standin/mesh/node.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/galenalever/galenalever/internal/standin/backend"
 	"github.com/galenalever/galenalever/internal/standin/link"
 	"github.com/galenalever/galenalever/internal/standin/platform"
@@ -88,6 +90,23 @@
 	return n.process != nil && !n.paused
 }
 
+// Failure returns an error with the last log lines if the process ended by
+// itself.
+func (n *Node) Failure() error {
+	n.mu.Lock()
+	p := n.process
+	n.mu.Unlock()
+	if p == nil {
+		return nil
+	}
+	select {
+	case <-p.exited:
+		return eris.Errorf("the process of %s ended by itself: %v\n%s", n.ID, p.err, strings.Join(p.log(), "\n"))
+	default:
+		return nil
+	}
+}
+
 // Kill ends the process at once.
 func (n *Node) Kill() {
 	if p := n.detach(); p != nil {
@@ -121,17 +140,6 @@
 	}
 }
 
-// Log returns the last log lines of the present process.
-func (n *Node) Log() []string {
-	n.mu.Lock()
-	p := n.process
-	n.mu.Unlock()
-	if p == nil {
-		return nil
-	}
-	return p.log()
-}
-
 // detach returns the present process, if any, and forgets it.
 func (n *Node) detach() *process {
 	n.mu.Lock()
--- a/internal/standin/mesh/observer.go
+++ b/internal/standin/mesh/observer.go
@@ -82,7 +82,7 @@
 }
 
 // Await samples all nodes until the condition holds. It returns the last
-// reports also when the context ends before.
+// reports also when the context ends before, or when a process ends by itself.
 func (o *Observer) Await(ctx context.Context, condition func(Reports) bool) (Reports, error) {
 	ticker := time.NewTicker(sampleInterval)
 	defer ticker.Stop()
@@ -91,6 +91,9 @@
 		if condition(reports) {
 			return reports, nil
 		}
+		if err := o.mesh.failure(); err != nil {
+			return reports, err
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
