Assemble the node: the whole path serves requests from end to end

Cause: the services existed apart; the daemon now opens its listeners, builds the services in start order, announces leaving on a signal and drains.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,12 +10,16 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenalever/galenalever/internal/cli"
 	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/settings"
 )
 
@@ -58,15 +62,49 @@
 
 // run starts the node and waits for the end of ctx, then drains and stops.
 func run(ctx context.Context, d *settings.Daemon, log *slog.Logger) error {
+	l, err := openListeners(d)
+	if err != nil {
+		return err
+	}
+	defer l.close()
+	self := identity(d, l, time.Now())
 	k := kernel.New(clock.System{}, log)
-	if err := k.Register(services(d)...); err != nil {
+	if err := k.Register(services(d, self, l)...); err != nil {
 		return err
 	}
 	if err := k.Start(ctx); err != nil {
 		return err
 	}
+	log.Info("listening", "callers", l.callers.Addr().String(), "traffic", l.traffic.Addr().String(),
+		"control", l.control.Addr().String(), "operator", l.operator.Addr().String())
 	<-ctx.Done()
-	stopCtx, cancel := context.WithTimeout(context.Background(), d.DrainTimeout)
+	return drain(d, k, log)
+}
+
+// identity returns who this process is.
+func identity(d *settings.Daemon, l *listeners, now time.Time) model.Self {
+	return model.Self{
+		ID:          model.InstanceID(d.Instance),
+		Service:     d.ServiceName(),
+		Domain:      model.FailureDomain(d.Domain),
+		Addresses:   l.addresses(d),
+		Incarnation: model.Incarnation(now.UnixMilli()),
+	}
+}
+
+// hash spreads an instance ID over the seeds of the random generators.
+func hash(text string) uint64 { return xxhash.Sum64String(text) }
+
+// drain announces that the instance leaves, waits for running requests and
+// stops the services.
+func drain(d *settings.Daemon, k *kernel.Kernel, log *slog.Logger) error {
+	ctx, cancel := context.WithTimeout(context.Background(), d.DrainTimeout)
 	defer cancel()
-	return k.Stop(stopCtx)
+	log.Info("draining", "at most", d.DrainTimeout)
+	if err := k.Loop().Post(ctx, control.PresenceChanged{Presence: model.PresenceLeaving}); err != nil {
+		return err
+	}
+	err := k.Stop(ctx)
+	log.Info("stopped")
+	return err
 }
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -1,12 +1,60 @@
 package daemon
 
 import (
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/document"
 	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/service/backend"
+	"github.com/galenalever/galenalever/internal/service/balancer"
+	"github.com/galenalever/galenalever/internal/service/config"
+	"github.com/galenalever/galenalever/internal/service/exchange"
+	"github.com/galenalever/galenalever/internal/service/forward"
+	"github.com/galenalever/galenalever/internal/service/gate"
+	"github.com/galenalever/galenalever/internal/service/ingress"
+	"github.com/galenalever/galenalever/internal/service/membership"
+	"github.com/galenalever/galenalever/internal/service/metrics"
+	"github.com/galenalever/galenalever/internal/service/operator"
+	"github.com/galenalever/galenalever/internal/service/quarantine"
+	"github.com/galenalever/galenalever/internal/service/routing"
+	"github.com/galenalever/galenalever/internal/service/source"
+	"github.com/galenalever/galenalever/internal/service/timeline"
+	"github.com/galenalever/galenalever/internal/service/watchdog"
 	"github.com/galenalever/galenalever/internal/settings"
 )
 
 // services returns the services of a node in start order. They stop in the
-// reverse order, so what takes requests comes last.
-func services(_ *settings.Daemon) []kernel.Service {
-	return nil
+// reverse order, so what takes requests comes last: first callers, then other
+// nodes, then the exchange that tells peers that the instance is gone.
+func services(d *settings.Daemon, self model.Self, l *listeners) []kernel.Service {
+	seed := uint64(self.Incarnation) ^ hash(string(self.ID))
+	events := timeline.New(timeline.Config{Instance: self.ID, Clock: clock.System{}})
+	return []kernel.Service{
+		operator.New(operator.Config{Listener: l.operator, Self: self}),
+		events,
+		metrics.New(metrics.Config{Tags: map[string]string{"service": string(self.Service), "domain": string(self.Domain)}}),
+		watchdog.New(),
+		config.New(d.BootstrapFor),
+		membership.New(membership.Config{Self: self}),
+		source.New(source.Config{
+			Self:       self,
+			Platform:   source.NewClient(d.Platform),
+			Parse:      document.NewSubtree,
+			RandomSeed: seed,
+		}),
+		exchange.New(exchange.Config{
+			Self:         self,
+			Listener:     l.control,
+			Seeds:        d.Peers,
+			BootstrapFor: d.BootstrapFor,
+			RandomSeed:   seed,
+		}),
+		routing.New(),
+		balancer.New(balancer.Config{Self: self}),
+		forward.New(forward.Config{Time: events.Clock()}),
+		backend.New(backend.Config{URL: d.Backend, HealthPath: d.HealthPath, HealthInterval: d.HealthInterval}),
+		quarantine.New(quarantine.Config{Self: self}),
+		gate.New(gate.Config{Self: self, Listener: l.traffic, Timestamps: events.Clock()}),
+		ingress.New(ingress.Config{Self: self, Listener: l.callers}),
+	}
 }
