Make the scenarios of the caller's side free of races

Cause: -race reported that a call in the background read the test's line while the next line replaced it; the test of a server that is gone depended on when the transport notices a closed connection.

--- a/internal/service/ingress/fakes_test.go
+++ b/internal/service/ingress/fakes_test.go
@@ -9,8 +9,11 @@
 
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/balance"
+	"github.com/galenalever/galenalever/internal/decision/route"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/service/balancer"
 	"github.com/galenalever/galenalever/internal/timeline"
 )
 
@@ -61,6 +64,25 @@
 
 func (f *fakeWatchdog) Fresh() bool { return !f.stale.Load() }
 
+// observedBalancer tells when the outcome of an attempt was reported.
+type observedBalancer struct {
+	*balancer.Service
+	reports chan struct{}
+}
+
+func newObservedBalancer(s *balancer.Service) *observedBalancer {
+	const enough = 1024
+	return &observedBalancer{Service: s, reports: make(chan struct{}, enough)}
+}
+
+func (b *observedBalancer) Done(e *route.Endpoint, class model.Class, r balance.Report) {
+	b.Service.Done(e, class, r)
+	select {
+	case b.reports <- struct{}{}:
+	default: // nobody waits for so many reports
+	}
+}
+
 // shortDelay is the longest delay that passes at once on a testClock.
 const shortDelay = 250 * time.Millisecond
 
--- a/internal/service/ingress/gate_test.go
+++ b/internal/service/ingress/gate_test.go
@@ -118,6 +118,9 @@
 	if !ok {
 		g.record("request without the headers of a node")
 	}
+	if r.Header.Get(hop.HeaderOutcome) != "" {
+		g.record("a caller's header of a node")
+	}
 	verb, argument, _ := strings.Cut(g.script.next(), " ")
 	if q.Incarnation != 0 && q.Incarnation != g.incarnation {
 		verb, argument = "refuse", string(model.ReasonWrongIncarnation)
--- a/internal/service/ingress/mesh_test.go
+++ b/internal/service/ingress/mesh_test.go
@@ -32,7 +32,7 @@
 	membership *fakeMembership
 	watchdog   *fakeWatchdog
 	timeline   *fakeTimeline
-	balancer   *balancer.Service
+	observed   *observedBalancer
 	tree       *model.Tree
 	gates      map[string]*fakeGate
 	script     *script
@@ -81,11 +81,11 @@
 	}
 	self := model.Self{ID: "caller", Domain: "jkt", Incarnation: 1}
 	random := &lockedRandom{rng: rand.NewPCG(1, 2)}
-	m.balancer = balancer.New(balancer.Config{Self: self, Random: random})
+	m.observed = newObservedBalancer(balancer.New(balancer.Config{Self: self, Random: random}))
 	m.kernel = kernel.New(m.clock, slog.New(slog.DiscardHandler))
 	err = m.kernel.Register(
 		m.timeline, &fakeMetrics{scope: tally.NewTestScope("", nil)}, m.watchdog, m.config, m.membership,
-		routing.New(), m.balancer, forward.New(forward.Config{Random: random}),
+		routing.New(), m.observed, forward.New(forward.Config{Random: random}),
 		ingress.New(ingress.Config{Self: self, Listener: listener}),
 	)
 	if err != nil {
--- a/internal/service/ingress/scenario_test.go
+++ b/internal/service/ingress/scenario_test.go
@@ -44,7 +44,7 @@
 		"start":    func(m *mesh, _ *datadriven.TestData) string { m.start(); return "" },
 		"publish":  func(m *mesh, _ *datadriven.TestData) string { m.publish(); return "" },
 		"script":   (*mesh).cmdScript,
-		"call":     func(m *mesh, d *datadriven.TestData) string { return m.call(context.Background(), d) },
+		"call":     func(m *mesh, d *datadriven.TestData) string { return m.do(m.newRequest(context.Background(), d)) },
 		"begin":    (*mesh).cmdBegin,
 		"finish":   func(m *mesh, d *datadriven.TestData) string { return <-m.calls[text(m, d, "id", "")] },
 		"cancel":   func(m *mesh, d *datadriven.TestData) string { m.cancels[text(m, d, "id", "")](); return "" },
@@ -56,8 +56,8 @@
 		"ledger":   (*mesh).cmdLedger,
 		"stop":     (*mesh).cmdStop,
 		"watchdog": (*mesh).cmdWatchdog,
+		"reported": func(m *mesh, _ *datadriven.TestData) string { <-m.observed.reports; return "" },
 		"seen":     (*mesh).cmdSeen,
-		"gone":     (*mesh).cmdGone,
 		"repeat":   (*mesh).cmdRepeat,
 		"raw":      (*mesh).cmdRaw,
 		"events":   func(m *mesh, _ *datadriven.TestData) string { return strings.Join(m.timeline.events, "\n") },
@@ -139,8 +139,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancels[id] = cancel
 	m.calls[id] = make(chan string, 1)
-	copied := *d
-	go func() { m.calls[id] <- m.call(ctx, &copied) }()
+	r, result := m.newRequest(ctx, d), m.calls[id]
+	go func() { result <- m.do(r) }()
 	return ""
 }
 
@@ -179,12 +179,6 @@
 	return ""
 }
 
-// cmdGone closes a gate with all its connections.
-func (m *mesh) cmdGone(d *datadriven.TestData) string {
-	_ = m.gates[text(m, d, "gate", "")].server.Close()
-	return ""
-}
-
 // cmdRepeat makes calls whose first attempts all meet the same script line.
 func (m *mesh) cmdRepeat(d *datadriven.TestData) string {
 	var last string
@@ -192,7 +186,7 @@
 	d.Input = ""
 	for range number(m, d, "times", 1) {
 		m.script.set([]string{line})
-		last = m.call(context.Background(), d)
+		last = m.do(m.newRequest(context.Background(), d))
 	}
 	return last
 }
@@ -236,8 +230,8 @@
 	return ""
 }
 
-// call sends a caller's request and describes what the caller sees.
-func (m *mesh) call(ctx context.Context, d *datadriven.TestData) string {
+// newRequest builds a caller's request.
+func (m *mesh) newRequest(ctx context.Context, d *datadriven.TestData) *http.Request {
 	size := number(m, d, "body", 0)
 	var body io.Reader = http.NoBody
 	if size > 0 {
@@ -257,6 +251,11 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
 		r.Header.Add(name, value)
 	}
+	return r
+}
+
+// do sends a caller's request and describes what the caller sees.
+func (m *mesh) do(r *http.Request) string {
 	response, err := m.client.Do(r)
 	if err != nil {
 		return "no answer: " + cause(err)
