Add baselines of choice and admission for experiments

Cause: the experiment tool compares each policy with a baseline in the same run; the baselines need a switch in the node.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,9 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+bench: build
+	$(BIN)/galenabench all --bin $(BIN)
+
 demo: build
 	$(BIN)/galenastand demo --bin $(BIN)
 
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/decision/balance"
 	"github.com/galenalever/galenalever/internal/document"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
@@ -50,11 +51,16 @@
 			RandomSeed:   seed,
 		}),
 		routing.New(),
-		balancer.New(balancer.Config{Self: self}),
+		balancer.New(balancer.Config{Self: self, Policy: balance.Policy(d.Balancer)}),
 		forward.New(forward.Config{Time: events.Clock()}),
 		backend.New(backend.Config{URL: d.Backend, HealthPath: d.HealthPath, HealthInterval: d.HealthInterval}),
 		quarantine.New(quarantine.Config{Self: self}),
-		gate.New(gate.Config{Self: self, Listener: l.traffic, Timestamps: events.Clock()}),
+		gate.New(gate.Config{
+			Self:       self,
+			Listener:   l.traffic,
+			Timestamps: events.Clock(),
+			KeepLate:   d.Admission == settings.AdmissionUnbounded,
+		}),
 		ingress.New(ingress.Config{Self: self, Listener: l.callers}),
 	}
 }
--- a/internal/decision/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -20,6 +20,9 @@
 	LongSlots int
 	// Queue is the number of requests that may wait for a slot.
 	Queue int
+	// KeepLate queues also requests that are predicted to miss their deadline.
+	// It is a baseline for experiments.
+	KeepLate bool
 }
 
 // longQueue bounds the waiting long requests, so that they never fill the queue.
@@ -119,7 +122,7 @@
 	if s.queueFull(r.Class) {
 		return refuse(r.Ticket, model.ReasonQueueFull, wait)
 	}
-	if now.Add(wait + s.average(r.Class).value()).After(r.Deadline) {
+	if !s.limits.KeepLate && now.Add(wait+s.average(r.Class).value()).After(r.Deadline) {
 		return refuse(r.Ticket, model.ReasonLate, wait)
 	}
 	s.queue(r.Class).push(r)
--- a/internal/service/balancer/balancer.go
+++ b/internal/service/balancer/balancer.go
@@ -28,6 +28,8 @@
 	// Random supplies random numbers to concurrent callers; nil means the
 	// process-wide generator.
 	Random balance.Source
+	// Policy is PolicyAdaptive unless an experiment asks for a baseline.
+	Policy balance.Policy
 }
 
 // Service chooses servers. Its methods are safe for concurrent use.
@@ -82,7 +84,7 @@
 	p := s.pool(d)
 	now := s.now()
 	view := poolView{pool: p, class: classIndex(class), tried: tried, now: now}
-	chosen := balance.Choose(&view, now, s.config.Random)
+	chosen := balance.ChooseBy(s.config.Policy, &view, now, s.config.Random)
 	if chosen == balance.None {
 		return nil
 	}
--- a/internal/service/balancer/server.go
+++ b/internal/service/balancer/server.go
@@ -94,7 +94,7 @@
 	now := owner.now()
 	statistics := &s.classes[class]
 	statistics.outstanding.Add(-1)
-	if r.Reported {
+	if r.Reported && s.takesReport(owner.config.Policy, now) {
 		s.load.Store(packLoad(r.Load))
 		s.loadAt.Store(int64(now))
 	}
@@ -102,6 +102,13 @@
 	s.updateHealth(owner, r, now)
 }
 
+// takesReport reports whether a newly reported load takes the place of the old
+// one. It always does, but for the baseline with lagging reports.
+func (s *server) takesReport(policy balance.Policy, now time.Duration) bool {
+	last := time.Duration(s.loadAt.Load())
+	return policy != balance.PolicyReported || last == 0 || now-last >= balance.ReportedLag
+}
+
 // observe adds a latency sample. An attempt that was given up shows only that
 // the latency is not less than the time waited.
 func (c *classStatistics) observe(r balance.Report, now time.Duration) {
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -29,6 +29,8 @@
 	Listener net.Listener
 	// Timestamps marks the answers for the time line; nil leaves them unmarked.
 	Timestamps *timeline.Clock
+	// KeepLate is admission.Limits.KeepLate, for experiments.
+	KeepLate bool
 }
 
 // Service implements the kernel's service "gate". It is an http.Handler, so that
@@ -37,6 +39,7 @@
 	self       model.Self
 	listener   net.Listener
 	timestamps *timeline.Clock
+	keepLate   bool
 	partners   partners
 	http       *http.Server
 	served     chan struct{}
@@ -64,6 +67,7 @@
 		self:       c.Self,
 		listener:   c.Listener,
 		timestamps: c.Timestamps,
+		keepLate:   c.KeepLate,
 		served:     make(chan struct{}),
 		admission:  admission.New(admission.Limits{}),
 		memory:     dedupe.New(memoryBounds),
@@ -145,7 +149,7 @@
 	if service == nil {
 		return
 	}
-	limits := admission.Limits{Slots: service.Slots, LongSlots: service.LongSlots, Queue: service.Queue}
+	limits := admission.Limits{Slots: service.Slots, LongSlots: service.LongSlots, Queue: service.Queue, KeepLate: s.keepLate}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.deliver(s.admission.Configure(limits, s.clock.Now()))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,9 @@
 	"github.com/galenalever/galenalever/internal/model"
 )
 
+// AdmissionUnbounded is the value of --admission that queues every request.
+const AdmissionUnbounded = "unbounded"
+
 // Daemon is the settings of one node. The tags are read by kong.
 type Daemon struct {
 	Instance string `help:"ID of the backend server instance; unique in the mesh." env:"GALENA_INSTANCE" required:""`
@@ -37,6 +40,9 @@
 
 	DrainTimeout time.Duration `help:"Longest wait for running requests at shutdown." env:"GALENA_DRAIN_TIMEOUT" default:"5m"`
 
+	Balancer  string `help:"Choice of a server: adaptive, or a baseline for experiments, random or reported." env:"GALENA_BALANCER" enum:"adaptive,random,reported" default:"adaptive"`
+	Admission string `help:"Admission at the gate: bounded, or a baseline for experiments, unbounded." env:"GALENA_ADMISSION" enum:"bounded,unbounded" default:"bounded"`
+
 	LogFormat string `help:"Log format: text or json." env:"GALENA_LOG_FORMAT" enum:"text,json" default:"text"`
 	LogLevel  string `help:"Lowest level logged: debug, info, warn or error." env:"GALENA_LOG_LEVEL" enum:"debug,info,warn,error" default:"info"`
 }
