--- /dev/null
+++ b/internal/service/config/network_test.go
@@ -0,0 +1,139 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/replicate"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/standin/history"
+	"github.com/galenalever/galenalever/internal/timeline"
+)
+
+// bootstrapFor is the bootstrap time of all nodes in these tests.
+const bootstrapFor = 2 * time.Second
+
+// node is one config service on a control loop that the test drives.
+type node struct {
+	service *Service
+	loop    *kernel.Loop
+	clock   *clock.Fake
+	// repair is what the node last asked to have sent whole.
+	repair control.WholeSubtreesNeeded
+	events []string
+}
+
+// Record implements recorder.
+func (n *node) Record(kind timeline.Kind, detail string) {
+	n.events = append(n.events, fmt.Sprintf("%s %s", kind, detail))
+}
+
+func startNode() *node {
+	fake := clock.NewFake(time.Unix(0, 0))
+	log := slog.New(slog.DiscardHandler)
+	n := &node{service: New(bootstrapFor), loop: kernel.NewLoop(fake, log), clock: fake}
+	n.service.attach(n.loop, log, n)
+	kernel.Subscribe(n.loop, func(m control.WholeSubtreesNeeded) { n.repair = m })
+	kernel.Subscribe(n.loop, func(control.ConfigurationChanged) { n.repair = control.WholeSubtreesNeeded{} })
+	_ = n.service.Start(context.Background())
+	return n
+}
+
+func (n *node) configuration() *model.Configuration { return n.service.Configuration().Load() }
+
+// handle delivers a message to the node's control loop.
+func (n *node) handle(m kernel.Message) {
+	n.loop.TryPost(m)
+	n.loop.Drain()
+}
+
+func (n *node) advance(d time.Duration) {
+	n.clock.Advance(d)
+	n.loop.Drain()
+}
+
+// poll returns what peer answers to this node's next question, as the exchange
+// service asks it.
+func (n *node) poll(peer *node) replicate.Delta {
+	known := n.configuration()
+	if known.Cut.Revision == 0 {
+		return replicate.Bootstrap(peer.configuration())
+	}
+	if n.repair.All {
+		return replicate.Diff(peer.configuration().Cut, 0, nil)
+	}
+	return replicate.Diff(peer.configuration().Cut, known.Cut.Revision, n.repair.Keys)
+}
+
+func (n *node) receive(delta replicate.Delta) { n.handle(control.DeltaReceived{Delta: delta}) }
+
+// describe reports the node's state and the events since the last report.
+func (n *node) describe() string {
+	var b strings.Builder
+	c := n.configuration()
+	fmt.Fprintf(&b, "cut %d, running", c.Cut.Revision)
+	for _, key := range slices.Sorted(maps.Keys(c.Running)) {
+		fmt.Fprintf(&b, " %s@%d", key, c.Running[key].Revision)
+		if c.Running[key].Removed {
+			b.WriteString(" (removed)")
+		}
+	}
+	b.WriteString("\n")
+	if n.repair.All {
+		b.WriteString("asks for the complete cut\n")
+	}
+	if len(n.repair.Keys) > 0 {
+		fmt.Fprintf(&b, "asks for whole %v\n", n.repair.Keys)
+	}
+	for _, event := range n.events {
+		fmt.Fprintf(&b, "  %s\n", event)
+	}
+	n.events = nil
+	return b.String()
+}
+
+// checkKnowledge verifies that the node's cut is what the platform held at its
+// revision, and that its tree is closed.
+func checkKnowledge(c *model.Configuration, tree *history.History) error {
+	want := tree.Cut(c.Cut.Revision)
+	for key, subtree := range c.Cut.Subtrees {
+		if original := want.Subtrees[key]; original == nil && !subtree.Removed {
+			return fmt.Errorf("cut %d has %s, which was removed", c.Cut.Revision, key)
+		}
+	}
+	for key, original := range want.Subtrees {
+		known := c.Cut.Subtrees[key]
+		if known == nil || known.Revision != original.Revision || known.Hash != original.Hash {
+			return fmt.Errorf("cut %d differs from the platform in %s", c.Cut.Revision, key)
+		}
+	}
+	for _, route := range c.Tree.Routes {
+		if c.Tree.Services[route.Service] == nil {
+			return fmt.Errorf("route %s/%s dangles at cut %d", route.Team, route.Name, c.Cut.Revision)
+		}
+	}
+	return nil
+}
+
+// checkMonotone verifies that no revision went back between two states of one
+// process.
+func checkMonotone(before, after *model.Configuration) error {
+	if after.Cut.Revision < before.Cut.Revision {
+		return fmt.Errorf("cut went from %d to %d", before.Cut.Revision, after.Cut.Revision)
+	}
+	for key, previous := range before.Running {
+		next := after.Running[key]
+		if next == nil || next.Revision < previous.Revision {
+			return fmt.Errorf("%s@%d went back at cut %d", key, previous.Revision, after.Cut.Revision)
+		}
+	}
+	return nil
+}
--- a/internal/standin/history/history.go
+++ b/internal/standin/history/history.go
@@ -14,21 +14,22 @@
 	changes []change
 }
 
+// change is one key as of one revision; a removed one has no subtree.
 type change struct {
 	key     model.Key
-	text    string
-	removed bool
+	subtree *model.Subtree
 }
 
 // Publish stores a new text of a document and returns its revision.
 func (h *History) Publish(key model.Key, text string) model.Revision {
-	h.changes = append(h.changes, change{key: key, text: text})
-	return h.Revision()
+	revision := h.Revision() + 1
+	h.changes = append(h.changes, change{key: key, subtree: document.NewSubtree(key, revision, []byte(text), false)})
+	return revision
 }
 
 // Remove deletes a document and returns the revision of the deletion.
 func (h *History) Remove(key model.Key) model.Revision {
-	h.changes = append(h.changes, change{key: key, removed: true})
+	h.changes = append(h.changes, change{key: key})
 	return h.Revision()
 }
 
@@ -39,13 +40,11 @@
 // the revision, each as of its latest change.
 func (h *History) Cut(revision model.Revision) model.Cut {
 	cut := model.Cut{Revision: revision, Subtrees: map[model.Key]*model.Subtree{}}
-	latest := map[model.Key]int{}
-	for i, c := range h.changes[:revision] {
-		latest[c.key] = i
-	}
-	for key, i := range latest {
-		if c := h.changes[i]; !c.removed {
-			cut.Subtrees[key] = document.NewSubtree(key, model.Revision(i+1), []byte(c.text), false)
+	for _, c := range h.changes[:revision] {
+		if c.subtree == nil {
+			delete(cut.Subtrees, c.key)
+		} else {
+			cut.Subtrees[c.key] = c.subtree
 		}
 	}
 	return cut
