--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -58,6 +58,8 @@
 		return s.leave(d)
 	case "converged":
 		return s.converged(d)
+	case "present":
+		return s.present(d)
 	case "absent":
 		return s.absent(d)
 	case "check":
@@ -114,20 +116,16 @@
 // kill ends a random half of all nodes, or all nodes of a domain.
 func (s *script) kill(d *datadriven.TestData) string {
 	var domain string
-	d.MaybeScanArgs(s.t, "domain", &domain)
-	victims := s.rng.Perm(len(s.mesh.nodes))[:len(s.mesh.nodes)/2]
-	if domain != "" {
-		victims = nil
-		for i, n := range s.mesh.nodes {
-			if string(n.self.Domain) == domain {
-				victims = append(victims, i)
-			}
+	all := !d.MaybeScanArgs(s.t, "domain", &domain)
+	count := 0
+	for _, i := range s.rng.Perm(len(s.mesh.nodes)) {
+		n := s.mesh.nodes[i]
+		if (all && count < len(s.mesh.nodes)/2) || string(n.self.Domain) == domain {
+			n.kill()
+			count++
 		}
 	}
-	for _, i := range victims {
-		s.mesh.nodes[i].kill()
-	}
-	return fmt.Sprintf("%d killed", len(victims))
+	return fmt.Sprintf("%d killed", count)
 }
 
 func (s *script) restart() string {
@@ -163,9 +161,14 @@
 }
 
 func (s *script) leave(d *datadriven.TestData) string {
-	n := s.mesh.nodes[len(s.mesh.nodes)-1]
+	var id string
+	d.ScanArgs(s.t, "instance", &id)
+	n := s.mesh.node(model.InstanceID(id))
+	if !n.alive() {
+		d.Fatalf(s.t, "%s is dead", id)
+	}
 	n.kernel.Loop().TryPost(control.PresenceChanged{Presence: model.PresenceLeaving})
-	return string(n.self.ID)
+	return fmt.Sprintf("listed as %s", s.mesh.listed(n.self.ID))
 }
 
 // within waits until a count is 0 and reports the rest.
@@ -187,19 +190,27 @@
 	return s.within(d, "converged", s.mesh.lagging)
 }
 
+// present waits until every node takes the instance for present.
+func (s *script) present(d *datadriven.TestData) string {
+	var id string
+	d.ScanArgs(s.t, "instance", &id)
+	return s.within(d, "present", func() int {
+		return s.mesh.count(func(n *node) bool {
+			known, _ := n.membership.View().Load().Get(model.InstanceID(id))
+			return !known.Present()
+		})
+	})
+}
+
 // absent waits until no node takes the instance for present.
 func (s *script) absent(d *datadriven.TestData) string {
 	var id string
 	d.ScanArgs(s.t, "instance", &id)
 	return s.within(d, "absent", func() int {
-		count := 0
-		for _, n := range s.mesh.nodes {
+		return s.mesh.count(func(n *node) bool {
 			known, ok := n.membership.View().Load().Get(model.InstanceID(id))
-			if n.alive() && (!ok || known.Present()) {
-				count++
-			}
-		}
-		return count
+			return !ok || known.Present()
+		})
 	})
 }
 
--- a/internal/distribution/mesh_test.go
+++ b/internal/distribution/mesh_test.go
@@ -130,11 +130,37 @@
 	m.mu.Lock()
 	newest := m.platform.revision
 	m.mu.Unlock()
+	return m.count(func(n *node) bool { return n.revision() != newest })
+}
+
+// count returns the number of live nodes that fulfil a condition.
+func (m *mesh) count(condition func(*node) bool) int {
 	count := 0
 	for _, n := range m.nodes {
-		if n.alive() && n.revision() != newest {
+		if n.alive() && condition(n) {
 			count++
 		}
 	}
 	return count
 }
+
+func (m *mesh) node(id model.InstanceID) *node {
+	for _, n := range m.nodes {
+		if n.self.ID == id {
+			return n
+		}
+	}
+	return nil
+}
+
+// listed returns the state of an instance in the platform's list.
+func (m *mesh) listed(id model.InstanceID) model.Listing {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, i := range m.platform.instances {
+		if i.ID == id {
+			return i.Listed
+		}
+	}
+	return model.ListingUnknown
+}
--- a/internal/distribution/platform_test.go
+++ b/internal/distribution/platform_test.go
@@ -9,6 +9,9 @@
 	"github.com/galenalever/galenalever/internal/service/source"
 )
 
+// callTimeout ends a call that the network loses.
+const callTimeout = 5 * time.Second
+
 // platform is the configuration service: it counts each call against a limit.
 type platform struct {
 	revision  model.Revision
@@ -59,8 +62,26 @@
 	node *node
 }
 
+// reach moves a call to the platform, which a parted domain cannot reach.
+func (l *platformLink) reach(ctx context.Context) error {
+	time.Sleep(remoteDelay)
+	l.mesh.mu.Lock()
+	parted := l.mesh.cut[l.node.self.Domain]
+	l.mesh.mu.Unlock()
+	if !parted {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 // held waits until news is true, the wait is over or an outage begins.
 func (l *platformLink) held(ctx context.Context, wait time.Duration, news func(*platform) bool) error {
+	if err := l.reach(ctx); err != nil {
+		return err
+	}
 	l.mesh.mu.Lock()
 	defer l.mesh.mu.Unlock()
 	p := l.mesh.platform
@@ -110,7 +131,9 @@
 
 // Value implements source.Platform.
 func (l *platformLink) Value(ctx context.Context, key model.Key) (source.Value, error) {
-	time.Sleep(remoteDelay)
+	if err := l.reach(ctx); err != nil {
+		return source.Value{}, err
+	}
 	l.mesh.mu.Lock()
 	defer l.mesh.mu.Unlock()
 	p := l.mesh.platform
--- a/internal/service/exchange/planner.go
+++ b/internal/service/exchange/planner.go
@@ -120,6 +120,9 @@
 		if changed.ID == s.config.Self.ID {
 			s.announce([]model.Member{changed})
 		}
+		if rank.Eligible(&changed) {
+			s.planner.exclusions.Restore(changed.ID) // its process was restarted
+		}
 	}
 	s.scheduleReplan(replanDelay)
 }
--- a/internal/service/source/source.go
+++ b/internal/service/source/source.go
@@ -42,7 +42,7 @@
 )
 
 // retryPolicy bounds the delay after a failed call.
-var retryPolicy = backoff.Policy{Base: time.Second, Max: 30 * time.Second}
+var retryPolicy = backoff.Policy{Base: 3 * time.Second, Max: 30 * time.Second}
 
 // Parse makes a subtree from the text of a value. A text that is not valid
 // yields a subtree that is marked as rejected.
