--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -157,6 +157,13 @@
 	return next
 }
 
+// Cleared reports whether a suspect has run on this node without a crash since
+// its last one.
+func (t Table) Cleared(f Fingerprint) bool {
+	r, ok := t.records[f]
+	return ok && r.cleared == len(r.Crashed)
+}
+
 // Verdict is the decision on one request.
 type Verdict uint8
 
--- a/internal/service/gate/clock_test.go
+++ b/internal/service/gate/clock_test.go
@@ -16,6 +16,8 @@
 type testClock struct {
 	fake *clock.Fake
 	gap  atomic.Int64
+	// checksOff holds back the health checks that are due.
+	checksOff atomic.Bool
 }
 
 func newTestClock() *testClock {
@@ -25,7 +27,7 @@
 func (c *testClock) Now() time.Time { return c.fake.Now().Add(time.Duration(c.gap.Load())) }
 
 func (c *testClock) AfterFunc(d time.Duration, f func()) clock.Timer {
-	if d == checkInterval {
+	if d == checkInterval && !c.checksOff.Load() {
 		return clock.System{}.AfterFunc(d, f)
 	}
 	return c.fake.AfterFunc(d, f)
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -121,7 +121,8 @@
 }
 
 // Start implements kernel.Starter.
-func (s *Service) Start(context.Context) error {
+func (s *Service) Start(ctx context.Context) error {
+	go s.watchServer(ctx)
 	go func() {
 		defer close(s.served)
 		if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/service/gate/node_test.go
+++ b/internal/service/gate/node_test.go
@@ -78,8 +78,10 @@
 	stopped  chan error
 }
 
-func listen() net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func listen() net.Listener { return listenOn("127.0.0.1:0") }
+
+func listenOn(address string) net.Listener {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		panic(err)
 	}
--- a/internal/service/gate/partners.go
+++ b/internal/service/gate/partners.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/health"
 	"github.com/galenalever/galenalever/internal/decision/quarantine"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
@@ -22,6 +23,7 @@
 // server is the part of the backend service that the gate uses.
 type server interface {
 	Available() bool
+	State() *kernel.Snapshot[health.State]
 	Do(r *http.Request, notAfter time.Time, idempotent bool) (*http.Response, error)
 	Crashed(ctx context.Context) bool
 }
--- a/internal/service/gate/relay.go
+++ b/internal/service/gate/relay.go
@@ -42,7 +42,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if err != nil && c.Idempotent {
-		s.abandoned.add(c.fingerprint, s.clock.Now())
+		s.giveUp(c)
 		panic(http.ErrAbortHandler)
 	}
 	s.endAnswered(c, r.answer(response))
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -68,24 +68,33 @@
 	return model.ReasonBackendDown
 }
 
+// giveUp remembers a request whose connection the gate closed, in case that it
+// crashes the server or has done so already.
+func (s *Service) giveUp(c *call) {
+	s.abandoned.add(c.fingerprint, s.clock.Now())
+	if !s.partners.server.Available() {
+		s.reportAbandoned(context.WithoutCancel(c.r.Context()))
+	}
+}
+
 // lost finds out why a request that may have run has no whole answer. If its
 // server crashed, the gates of the service know the request as a suspect when
 // lost returns.
 func (s *Service) lost(ctx context.Context, c *call) model.Reason {
+	if ctx.Err() != nil {
+		s.giveUp(c)
+	}
 	s.release(c, false)
-	now := s.clock.Now()
 	switch {
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		s.abandoned.add(c.fingerprint, now)
 		return model.ReasonDeadline
 	case ctx.Err() != nil:
-		s.abandoned.add(c.fingerprint, now)
 		return model.ReasonCancelled
 	}
 	ctx = context.WithoutCancel(ctx)
 	if !s.partners.server.Crashed(ctx) {
 		return model.ReasonConnectionLost
 	}
-	s.partners.suspects.Report(ctx, append(s.abandoned.take(now), c.fingerprint))
+	s.partners.suspects.Report(ctx, append(s.abandoned.take(s.clock.Now()), c.fingerprint))
 	return model.ReasonCrashed
 }
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -17,6 +17,7 @@
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/service/gate"
 )
 
 // waitFor yields to other goroutines until the condition holds. A condition that
@@ -73,6 +74,8 @@
 	s.t = t
 	var to, id, reason string
 	var after time.Duration
+	var count int
+	d.MaybeScanArgs(t, "count", &count)
 	d.MaybeScanArgs(t, "node", &to)
 	d.MaybeScanArgs(t, "id", &id)
 	d.MaybeScanArgs(t, "reason", &reason)
@@ -133,6 +136,14 @@
 		go func() { n.stopped <- n.gate.Stop(context.Background()) }()
 	case "stopped":
 		return s.awaitStopped(n)
+	case "in-flight": // returns when so many requests hold slots
+		waitFor(func() bool { return n.gate.Stats().InFlight == count })
+	case "suspects": // returns when the node knows so many
+		waitFor(func() bool { return len(n.gate.Stats().Suspects) == count })
+	case "cleared": // returns when the node trusts a suspect again
+		waitFor(func() bool {
+			return slices.ContainsFunc(n.gate.Stats().Suspects, func(s gate.Suspect) bool { return s.Cleared })
+		})
 	case "ledger":
 		return s.ledger.String()
 	case "stats":
--- a/internal/service/gate/server_test.go
+++ b/internal/service/gate/server_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -56,10 +55,7 @@
 
 // start listens, after a crash on the same address as before.
 func (b *backendServer) start() {
-	listener, err := net.Listen("tcp", b.address)
-	if err != nil {
-		panic(err)
-	}
+	listener := listenOn(b.address)
 	b.address = listener.Addr().String()
 	b.http = &http.Server{Handler: b}
 	go func() { _ = b.http.Serve(listener) }()
@@ -99,8 +95,12 @@
 	b.ledger.add(b.name, id)
 	b.announce(id)
 	switch r.URL.Path {
-	case "/hold":
-		<-b.signal(b.held, id)
+	case "/hold", "/hold2", "/slow":
+		select {
+		case <-b.signal(b.held, id):
+		case <-r.Context().Done():
+			return
+		}
 	case "/kill":
 		b.crash()
 		return
--- a/internal/service/gate/stats.go
+++ b/internal/service/gate/stats.go
@@ -96,6 +96,8 @@
 	Fingerprint string             `json:"fingerprint"`
 	Crashed     []model.InstanceID `json:"crashed"`
 	Quarantined bool               `json:"quarantined"`
+	// Cleared means that it has run here since without a crash.
+	Cleared bool `json:"cleared,omitempty"`
 	// ExpiresIn is the time until the record ends.
 	ExpiresIn time.Duration `json:"expires_in_ns"`
 }
@@ -113,17 +115,18 @@
 		InFlight: load.InFlight, Queued: load.Queued, Slots: load.Slots,
 		Remembered: remembered,
 		Leaving:    s.leaving.Load(),
-		Suspects:   listSuspects(s.partners.suspects.Suspects().Load().Suspects(now), now),
+		Suspects:   listSuspects(s.partners.suspects.Suspects().Load(), now),
 	}
 }
 
-func listSuspects(in []quarantine.Suspect, now time.Time) []Suspect {
+func listSuspects(table quarantine.Table, now time.Time) []Suspect {
 	var out []Suspect
-	for _, s := range in {
+	for _, s := range table.Suspects(now) {
 		out = append(out, Suspect{
 			Fingerprint: s.Fingerprint.String(),
 			Crashed:     s.Crashed,
 			Quarantined: s.Quarantined(),
+			Cleared:     table.Cleared(s.Fingerprint),
 			ExpiresIn:   s.Expires.Sub(now),
 		})
 	}
--- a/internal/service/quarantine/notify.go
+++ b/internal/service/quarantine/notify.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,6 +22,13 @@
 	idleConnections = 30 * time.Second
 )
 
+// Peers that did not acknowledge a notice are asked again after a delay that
+// doubles up to a number of rounds.
+const (
+	firstRetry  = 2 * time.Second
+	retryRounds = 5
+)
+
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		IdleConnTimeout:     idleConnections,
@@ -37,30 +45,39 @@
 	}
 }
 
-// pullOnRequest asks the peers for their suspects whenever this node has
-// synchronised, so that a fresh or paused one learns what it missed.
+// pullOnRequest exchanges suspects with the peers whenever this node has
+// synchronised, so that a fresh or paused one learns what it missed, and while
+// peers have not acknowledged a notice.
 func (s *Service) pullOnRequest(ctx context.Context) {
+	round := 0
 	for {
 		select {
 		case <-s.wake:
-			s.pull(ctx)
-			s.prepared.Store(true)
 		case <-ctx.Done():
 			return
 		}
+		if s.pull(ctx) || round == retryRounds {
+			round = 0
+		} else {
+			s.clock.AfterFunc(firstRetry<<round, s.requestPull)
+			round++
+		}
+		s.prepared.Store(true)
 	}
 }
 
-func (s *Service) pull(ctx context.Context) {
+// pull exchanges suspects with all peers and reports whether all answered.
+func (s *Service) pull(ctx context.Context) bool {
 	ctx, cancel := clock.WithTimeout(ctx, s.clock, pullTimeout)
 	defer cancel()
-	s.notify(ctx, s.table.Load().Suspects(s.clock.Now()))
+	return s.notify(ctx, s.table.Load().Suspects(s.clock.Now()))
 }
 
 // notify sends suspects to the gates of the same service, in parallel, and takes
 // over those that they answer with. It returns when all have answered or the
-// context ends.
-func (s *Service) notify(ctx context.Context, suspects []quarantine.Suspect) {
+// context ends, and reports whether all have.
+func (s *Service) notify(ctx context.Context, suspects []quarantine.Suspect) bool {
+	var failed atomic.Bool
 	request := encode(string(s.self.ID), suspects, s.clock.Now())
 	var group sync.WaitGroup
 	slots := make(chan struct{}, maxParallelCalls)
@@ -69,11 +86,13 @@
 		group.Go(func() {
 			defer func() { <-slots }()
 			if err := s.call(ctx, peer, request); err != nil {
+				failed.Store(true)
 				s.log.Warn("peer did not acknowledge suspects", "peer", peer.ID, "error", err)
 			}
 		})
 	}
 	group.Wait()
+	return !failed.Load()
 }
 
 // peers returns the other members of the service whose node may run.
--- a/internal/service/quarantine/quarantine.go
+++ b/internal/service/quarantine/quarantine.go
@@ -141,7 +141,9 @@
 		suspects[i] = quarantine.Suspect{Fingerprint: f, Crashed: []model.InstanceID{s.self.ID}, Expires: expires}
 	}
 	s.apply(ctx, suspects)
-	s.notify(ctx, suspects)
+	if !s.notify(ctx, suspects) {
+		s.clock.AfterFunc(firstRetry, s.requestPull)
+	}
 }
 
 // RanAlone tells that a suspect ran alone on this node's server without a crash.
