--- /dev/null
+++ b/internal/service/ingress/gate_test.go
@@ -0,0 +1,193 @@
+package ingress_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/hop"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// script holds what the gates do with the requests to come, one line for each,
+// whichever gate gets it. An empty script answers.
+type script struct {
+	mu    sync.Mutex
+	lines []string
+	held  chan string   // receives the gate's name for each request that is held
+	free  chan struct{} // one value ends one hold
+	// ledger is what the gates recorded; recorded receives each line of it.
+	ledger   []string
+	recorded chan string
+}
+
+func (s *script) set(lines []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lines = lines
+}
+
+func (s *script) record(line string) {
+	s.mu.Lock()
+	s.ledger = append(s.ledger, line)
+	s.mu.Unlock()
+	s.recorded <- line
+}
+
+// take returns the ledger and empties it.
+func (s *script) take() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ledger := s.ledger
+	s.ledger = nil
+	for len(s.recorded) > 0 {
+		<-s.recorded
+	}
+	return ledger
+}
+
+func newScript() *script {
+	const enough = 1024
+	return &script{
+		held: make(chan string, enough), free: make(chan struct{}, enough), recorded: make(chan string, enough),
+	}
+}
+
+func (s *script) next() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.lines) == 0 {
+		return "answer"
+	}
+	line := s.lines[0]
+	s.lines = s.lines[1:]
+	return line
+}
+
+// fakeGate stands for the gate beside one server. It treats requests by the
+// script and remembers what it ran by request ID, as a real gate does.
+type fakeGate struct {
+	name        string
+	incarnation model.Incarnation
+	server      *http.Server
+	listener    net.Listener
+	script      *script
+
+	mu  sync.Mutex
+	ran map[model.RequestID]bool
+}
+
+func newFakeGate(name string, incarnation model.Incarnation, lines *script) (*fakeGate, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	g := &fakeGate{
+		name: name, incarnation: incarnation, listener: listener, script: lines, ran: make(map[model.RequestID]bool),
+	}
+	g.server = &http.Server{Handler: g, ReadHeaderTimeout: time.Minute}
+	go func() { _ = g.server.Serve(listener) }()
+	return g, nil
+}
+
+func (g *fakeGate) record(format string, args ...any) {
+	g.script.record(g.name + ": " + fmt.Sprintf(format, args...))
+}
+
+// seen reports whether a request with the ID ran before.
+func (g *fakeGate) seen(id model.RequestID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ran[id]
+}
+
+func (g *fakeGate) run(q hop.Request, body []byte) {
+	g.mu.Lock()
+	g.ran[q.ID] = true
+	g.mu.Unlock()
+	g.record("ran %s attempt %d body %d", q.ID, q.Attempt, len(body))
+}
+
+// ServeHTTP implements http.Handler.
+func (g *fakeGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q, ok := hop.DecodeRequest(r.Header)
+	if !ok {
+		g.record("request without the headers of a node")
+	}
+	verb, argument, _ := strings.Cut(g.script.next(), " ")
+	if q.Incarnation != 0 && q.Incarnation != g.incarnation {
+		verb, argument = "refuse", string(model.ReasonWrongIncarnation)
+	}
+	switch verb {
+	case "refuse", "unknown":
+		g.refuse(w, q, verb, argument)
+		return
+	case "lose": // the connection breaks before the gate has seen the request
+		panic(http.ErrAbortHandler)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		g.record("broken body after %d bytes", len(body))
+		panic(http.ErrAbortHandler)
+	}
+	if g.seen(q.ID) {
+		g.record("replayed %s", q.ID)
+	} else {
+		g.run(q, body)
+	}
+	g.answer(w, r, q, verb, argument)
+}
+
+func (g *fakeGate) refuse(w http.ResponseWriter, q hop.Request, verb, reason string) {
+	response := hop.Response{
+		ID: q.ID, Outcome: model.OutcomeNotRun, Reason: model.Reason(reason), Incarnation: g.incarnation,
+	}
+	if verb == "unknown" {
+		response.Outcome = model.OutcomeUnknown
+	}
+	if response.Reason == model.ReasonQueueFull {
+		response.RetryAfter = 1500 * time.Millisecond
+	}
+	g.record("%s %s %s", verb, q.ID, reason)
+	response.Encode(w.Header())
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (g *fakeGate) answer(w http.ResponseWriter, r *http.Request, q hop.Request, verb, argument string) {
+	response := hop.Response{ID: q.ID, Outcome: model.OutcomeAnswered, Incarnation: g.incarnation}
+	const text = "answer of "
+	switch verb {
+	case "drop": // ran, but the answer is lost
+		panic(http.ErrAbortHandler)
+	case "hold":
+		g.script.held <- g.name
+		select {
+		case <-g.script.free:
+		case <-r.Context().Done():
+			g.record("cancelled %s", q.ID)
+			return
+		}
+	case "cross":
+		response.ID = "another-request"
+	case "plain":
+		_, _ = io.WriteString(w, text+g.name)
+		return
+	case "undelimited":
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
+	response.Encode(w.Header())
+	w.Header().Set("Galena-Secret", "for nodes only")
+	if verb == "truncate" && argument == "length" {
+		w.Header().Set("Content-Length", "1000")
+	}
+	_, _ = io.WriteString(w, text+g.name)
+	if verb == "truncate" {
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/service/operator/pages.go
@@ -0,0 +1,134 @@
+package operator
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/status"
+)
+
+func serveHealth(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }
+
+// serveReady answers 503 with all conditions that do not hold.
+func (s *Service) serveReady(w http.ResponseWriter, _ *http.Request) {
+	faults := s.unmetConditions()
+	if len(faults) == 0 {
+		_, _ = w.Write([]byte("ready\n"))
+		return
+	}
+	http.Error(w, strings.Join(faults, "\n"), http.StatusServiceUnavailable)
+}
+
+func (s *Service) unmetConditions() []string {
+	var faults []string
+	if s.configuration != nil {
+		if c := s.current(); c == nil || c.Tree == nil {
+			faults = append(faults, "config: no configuration is in force")
+		}
+	}
+	s.mu.Lock()
+	conditions := maps.Clone(s.readiness)
+	s.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(conditions)) {
+		if err := conditions[name](); err != nil {
+			faults = append(faults, fmt.Sprintf("%s: %v", name, err))
+		}
+	}
+	return faults
+}
+
+func (s *Service) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	serveJSON(w, s.report())
+}
+
+func (s *Service) serveSubtree(w http.ResponseWriter, r *http.Request) {
+	serveJSON(w, status.NewSubtree(s.current(), model.Key(r.URL.Query().Get("key"))))
+}
+
+func (s *Service) serveMembers(w http.ResponseWriter, _ *http.Request) {
+	serveJSON(w, s.knownMembers())
+}
+
+func serveJSON(w http.ResponseWriter, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body) // the client may be gone
+}
+
+func (s *Service) report() status.Report {
+	self := s.config.Self
+	return status.Report{
+		Instance:    self.ID,
+		Service:     self.Service,
+		Domain:      self.Domain,
+		Addresses:   self.Addresses,
+		Incarnation: self.Incarnation,
+		Uptime:      s.clock.Now().Sub(s.started),
+		Loop:        s.loop.Stats(),
+		Presence:    s.presence(),
+		Members:     s.memberCount(),
+		Version:     status.NewVersion(s.current()),
+		Sections:    s.sectionBodies(),
+	}
+}
+
+// current returns the configuration, or nil if there is none.
+func (s *Service) current() *model.Configuration {
+	if s.configuration == nil {
+		return nil
+	}
+	return s.configuration.Configuration().Load()
+}
+
+// knownMembers returns all instances that the node knows, ordered by ID.
+func (s *Service) knownMembers() []model.Member {
+	if s.members == nil {
+		return []model.Member{}
+	}
+	all := s.members.View().Load().All()
+	slices.SortFunc(all, func(a, b model.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+func (s *Service) memberCount() int {
+	if s.members == nil {
+		return 0
+	}
+	return s.members.View().Load().Len()
+}
+
+// presence returns what the node announces of its instance.
+func (s *Service) presence() string {
+	if s.members == nil {
+		return model.PresenceUnknown.String()
+	}
+	own, _ := s.members.View().Load().Get(s.config.Self.ID)
+	return own.Announced.Presence.String()
+}
+
+// sectionBodies encodes the sections. One that fails is replaced by its error,
+// so that the others are still shown.
+func (s *Service) sectionBodies() map[string]json.RawMessage {
+	s.mu.Lock()
+	sections := maps.Clone(s.sections)
+	s.mu.Unlock()
+	bodies := make(map[string]json.RawMessage, len(sections))
+	for name, f := range sections {
+		body, err := json.Marshal(f())
+		if err != nil {
+			body, _ = json.Marshal(map[string]string{"error": err.Error()})
+		}
+		bodies[name] = body
+	}
+	return bodies
+}
