Keep idempotency keys across gates: copies at two members, handed over by a drain

Cause: the caller's node picks the gate by the hash of the key over the present servers. When one is lost, drained, restarted or added, a repeat reaches a gate that has no memory of the key, and the booking ran again. Change: before a keyed request runs, its gate records the key at the two present members that rank highest for it, whoever runs the request, and refuses it as duplicate if one knows it; if no other member answers, it is refused as not run (unreachable). A leaving gate hands its records over and takes no new ones. The calls are Twirp (wire.Gate) on the traffic listener. Ruled out: refusing all keys of a lost gate for the window (a fifth of the bookings of a service with 5 servers for 10 minutes after each restart); hand-over alone (a lost server hands nothing over); one copy (a join and a loss of the same rank lose it). Cost: one round trip within the service for keyed requests only.

--- a/internal/decision/dedupe/dedupe.go
+++ b/internal/decision/dedupe/dedupe.go
@@ -67,6 +67,8 @@
 	stateRunning state = iota
 	stateAnswered
 	stateUnknown
+	// stateElsewhere means that another gate runs or has run the request.
+	stateElsewhere
 )
 
 // Entry is one remembered request.
@@ -77,6 +79,7 @@
 	answer      *Answer
 	finished    time.Time
 	waiters     []Waiter
+	runner      Runner // for stateElsewhere
 	// position is the place in Memory.finished, stored that in Memory.answers.
 	position, stored *list.Element
 }
--- a/internal/decision/dedupe/dedupe_test.go
+++ b/internal/decision/dedupe/dedupe_test.go
@@ -78,6 +78,28 @@
 				return formatWoken(m.Lost(entries[id], now))
 			case "not-run":
 				return formatWoken(m.NotRun(entries[id], model.ReasonBackendDown))
+			case "record", "drop":
+				var runner string
+				var incarnation int
+				d.ScanArgs(t, "runner", &runner)
+				d.ScanArgs(t, "incarnation", &incarnation)
+				c := dedupe.Copy{
+					Key:    dedupe.IdempotencyKey("book", key),
+					Runner: dedupe.Runner{Instance: model.InstanceID(runner), Incarnation: model.Incarnation(incarnation)},
+				}
+				if d.Cmd == "drop" {
+					m.Drop(c)
+					return ""
+				}
+				return [...]string{"new", "known", "no room"}[m.Record(c, now)] + "\n"
+			case "keepers":
+				var names string
+				d.ScanArgs(t, "members", &names)
+				var out []string
+				for _, k := range dedupe.Keepers(key, memberList(names)) {
+					out = append(out, string(k.ID))
+				}
+				return strings.Join(out, " ") + "\n"
 			case "len":
 				return fmt.Sprintln(m.Len())
 			}
@@ -86,6 +108,14 @@
 	})
 }
 
+func memberList(names string) []model.Member {
+	var out []model.Member
+	for name := range strings.SplitSeq(names, "+") {
+		out = append(out, model.Member{ID: model.InstanceID(name)})
+	}
+	return out
+}
+
 // TestAtMostOnce checks on random histories within the window that no key is
 // run twice unless the earlier run ended as not run.
 func TestAtMostOnce(t *testing.T) {
--- a/internal/service/gate/benchmark_test.go
+++ b/internal/service/gate/benchmark_test.go
@@ -14,10 +14,9 @@
 // same server. Both use one connection; the difference is the gate's own cost
 // and one more hop.
 func BenchmarkRequest(b *testing.B) {
-	var members []model.Member
 	service := &model.Service{Name: serviceName, Slots: 6, LongSlots: 2, Queue: 32}
 	clk := newTestClock()
-	n := startNode("a", clk, &ledger{runs: map[string]int{}}, &members, service)
+	n := startNode("a", clk, &ledger{runs: map[string]int{}}, &memberList{}, service)
 	fast := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "available")
 	})}
--- a/internal/service/gate/call.go
+++ b/internal/service/gate/call.go
@@ -25,6 +25,10 @@
 	// keys and identity are set for requests that are remembered.
 	keys     []dedupe.Key
 	identity uint64
+	// idempotencyKey is the caller's key, or empty; copies are the members that
+	// have recorded it.
+	idempotencyKey string
+	copies         []model.Member
 	// exclusive is true for a suspect that runs alone.
 	exclusive bool
 
@@ -58,6 +62,7 @@
 func (c *call) remember(shape quarantine.Shape, key string) {
 	c.keys = append(c.keys, dedupe.RequestKey(c.ID))
 	if key != "" {
+		c.idempotencyKey = key
 		c.keys = append(c.keys, dedupe.IdempotencyKey(c.Route, key))
 	}
 	shape.IdempotencyKey += "\n" + c.r.Header.Get("Authorization")
--- a/internal/service/gate/clock_test.go
+++ b/internal/service/gate/clock_test.go
@@ -5,10 +5,11 @@
 	"time"
 
 	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/service/gate"
 )
 
-// checkInterval is the health interval of the tests. Its timers run in real
-// time, all others on the fake clock.
+// checkInterval is the health interval of the tests. Its timers and those of a
+// drain run in real time, all others on the fake clock.
 const checkInterval = time.Millisecond
 
 // testClock is a fake clock that can also jump ahead without running timers, as
@@ -27,6 +28,9 @@
 func (c *testClock) Now() time.Time { return c.fake.Now().Add(time.Duration(c.gap.Load())) }
 
 func (c *testClock) AfterFunc(d time.Duration, f func()) clock.Timer {
+	if d == gate.LameDuck {
+		return clock.System{}.AfterFunc(checkInterval, f)
+	}
 	if d == checkInterval && !c.checksOff.Load() {
 		return clock.System{}.AfterFunc(d, f)
 	}
--- /dev/null
+++ b/internal/service/gate/copies.go
@@ -0,0 +1,116 @@
+package gate
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/decision/dedupe"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+const (
+	// copyTimeout bounds the wait for the keepers of an idempotency key.
+	copyTimeout = 100 * time.Millisecond
+	// handOverTimeout bounds the handing over of all records by a gate that
+	// leaves.
+	handOverTimeout = 2 * time.Second
+	// handOverBatch is the number of records in one call.
+	handOverBatch = 1000
+)
+
+// copyKey records the key of a call at its keepers before the call runs. It
+// refuses the call if a keeper knows the key, or if no other member has recorded
+// it although there are others. A keeper that fails is replaced by the next.
+func (s *Service) copyKey(ctx context.Context, c *call) *refusal {
+	if c.idempotencyKey == "" {
+		return nil
+	}
+	record := dedupe.Copy{Key: dedupe.IdempotencyKey(c.Route, c.idempotencyKey), Runner: s.runner()}
+	present := s.present()
+	alone := len(present) == 1
+	for {
+		keepers := s.withoutSelf(dedupe.Keepers(c.idempotencyKey, present))
+		if len(keepers) == 0 {
+			break
+		}
+		known, failed := s.peers.recordAt(ctx, s.clock, keepers, record)
+		if known {
+			return unknown(model.ReasonDuplicate)
+		}
+		c.copies = append(c.copies, without(keepers, failed)...)
+		if len(failed) == 0 {
+			break
+		}
+		present = without(present, failed)
+	}
+	if len(c.copies) == 0 && !alone {
+		return notRun(model.ReasonUnreachable)
+	}
+	return nil
+}
+
+// dropCopies tells the keepers that a call did not run.
+func (s *Service) dropCopies(c *call) {
+	if len(c.copies) == 0 {
+		return
+	}
+	record := dedupe.Copy{Key: dedupe.IdempotencyKey(c.Route, c.idempotencyKey), Runner: s.runner()}
+	s.peers.dropAt(context.WithoutCancel(c.r.Context()), s.clock, c.copies, record)
+}
+
+// handOver sends the records of this gate to the members that keep them from now
+// on.
+func (s *Service) handOver(ctx context.Context) {
+	ctx, cancel := clock.WithTimeout(ctx, s.clock, handOverTimeout)
+	defer cancel()
+	s.mu.Lock()
+	records := s.memory.Copies(s.runner())
+	s.mu.Unlock()
+	others := s.withoutSelf(s.present())
+	byAddress := make(map[string][]dedupe.Copy)
+	for _, r := range records {
+		for _, m := range dedupe.Keepers(r.Key.Value, others) {
+			byAddress[m.Addresses.Traffic] = append(byAddress[m.Addresses.Traffic], r)
+		}
+	}
+	for address, list := range byAddress {
+		for batch := range slices.Chunk(list, handOverBatch) {
+			if err := s.peers.handOver(ctx, address, batch); err != nil {
+				s.log.Warn("records of idempotency keys not handed over", "peer", address, "error", err)
+			}
+		}
+	}
+}
+
+func (s *Service) runner() dedupe.Runner {
+	return dedupe.Runner{Instance: s.self.ID, Incarnation: s.self.Incarnation}
+}
+
+// present returns the members of the service that take requests, this one
+// included.
+func (s *Service) present() []model.Member {
+	out := []model.Member{s.self.Member(model.PresenceReady)}
+	for _, m := range s.partners.members.ServiceMembers(s.self.Service) {
+		if m.ID != s.self.ID && m.Present() {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (s *Service) withoutSelf(members []model.Member) []model.Member {
+	return slices.DeleteFunc(members, func(m model.Member) bool { return m.ID == s.self.ID })
+}
+
+// without returns the members that are not in excluded.
+func without(members, excluded []model.Member) []model.Member {
+	var out []model.Member
+	for _, m := range members {
+		if !slices.ContainsFunc(excluded, func(e model.Member) bool { return e.ID == m.ID }) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- a/internal/service/gate/drain.go
+++ b/internal/service/gate/drain.go
@@ -11,7 +11,7 @@
 
 // lameDuck is how long a drained gate goes on refusing requests, so that nodes
 // which have not heard that it leaves learn it from a refusal.
-const lameDuck = time.Second
+const lameDuck = 1500 * time.Millisecond
 
 // leave refuses queued and new requests from now on. Running ones go on.
 func (s *Service) leave() {
@@ -33,11 +33,13 @@
 	}
 }
 
-// Stop implements kernel.Stopper. It waits for the last running request, goes on
-// refusing for a short time and closes the listener.
+// Stop implements kernel.Stopper. It waits for the last running request, hands
+// the records of idempotency keys over, goes on refusing for a short time and
+// closes the listener.
 func (s *Service) Stop(ctx context.Context) error {
 	s.leave()
 	drained := s.awaitIdle(ctx)
+	s.handOver(ctx)
 	s.refuseFor(ctx, lameDuck)
 	if err := s.http.Shutdown(ctx); err != nil {
 		drained = false
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -20,6 +20,7 @@
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
+	"github.com/galenalever/galenalever/internal/wire"
 )
 
 // Config configures the service.
@@ -38,6 +39,8 @@
 	listener   net.Listener
 	timestamps *timeline.Clock
 	partners   partners
+	peers      *peerClient
+	peerServer http.Handler
 	http       *http.Server
 	served     chan struct{}
 	clock      clock.Clock
@@ -71,6 +74,8 @@
 		repeats:    make(map[dedupe.Waiter]chan dedupe.Decision),
 		idle:       make(chan struct{}),
 	}
+	s.peers = newPeerClient()
+	s.peerServer = wire.NewGateServer(keeper{gate: s})
 	s.http = newServer(s)
 	return s
 }
--- a/internal/service/gate/node_test.go
+++ b/internal/service/gate/node_test.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,7 +29,7 @@
 type (
 	fakeTimeline   struct{}
 	fakeMetrics    struct{}
-	fakeMembership struct{ list *[]model.Member }
+	fakeMembership struct{ list *memberList }
 	fakeWatchdog   struct{ stale atomic.Bool }
 	fakeConfig     struct {
 		snapshot *kernel.Snapshot[*model.Configuration]
@@ -43,7 +45,7 @@
 func (fakeMetrics) Name() string                                         { return control.Metrics }
 func (fakeMetrics) Scope() tally.Scope                                   { return tally.NoopScope }
 func (fakeMembership) Name() string                                      { return control.Membership }
-func (f fakeMembership) ServiceMembers(model.ServiceName) []model.Member { return *f.list }
+func (f fakeMembership) ServiceMembers(model.ServiceName) []model.Member { return f.list.all() }
 func (*fakeWatchdog) Name() string                                       { return control.Watchdog }
 func (f *fakeWatchdog) Fresh() bool                                      { return !f.stale.Load() }
 func (fakeConfig) Name() string                                          { return control.Config }
@@ -66,6 +68,45 @@
 	return &wire.SuspectResponse{}, nil
 }
 
+// memberList is what all nodes of a test know of the members.
+type memberList struct {
+	mu   sync.Mutex
+	list []model.Member
+	// starts counts the processes by instance.
+	starts map[string]model.Incarnation
+}
+
+const firstIncarnation = 7
+
+// nextIncarnation returns a greater incarnation for every process of an instance.
+func (l *memberList) nextIncarnation(name string) model.Incarnation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.starts == nil {
+		l.starts = make(map[string]model.Incarnation)
+	}
+	l.starts[name]++
+	return firstIncarnation + l.starts[name] - 1
+}
+
+func (l *memberList) all() []model.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.list)
+}
+
+func (l *memberList) add(m model.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = append(l.list, m)
+}
+
+func (l *memberList) remove(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = slices.DeleteFunc(l.list, func(m model.Member) bool { return string(m.ID) == name })
+}
+
 // node is a gate with its partners, beside a server.
 type node struct {
 	server   *backendServer
@@ -92,13 +133,13 @@
 	return &model.Configuration{Tree: &model.Tree{Services: map[model.ServiceName]*model.Service{serviceName: service}}}
 }
 
-func startNode(name string, clk *testClock, l *ledger, members *[]model.Member, service *model.Service) *node {
+func startNode(name string, clk *testClock, l *ledger, members *memberList, service *model.Service) *node {
 	n := &node{server: newBackendServer(name, l), watchdog: &fakeWatchdog{}, stopped: make(chan error, 1)}
 	traffic, peers := listen(), listen()
 	n.address = traffic.Addr().String()
-	self := model.Self{ID: model.InstanceID(name), Service: serviceName, Domain: "jkt", Incarnation: 7}
+	self := model.Self{ID: model.InstanceID(name), Service: serviceName, Domain: "jkt", Incarnation: members.nextIncarnation(name)}
 	self.Addresses = model.Addresses{Traffic: n.address, Control: peers.Addr().String()}
-	*members = append(*members, self.Member(model.PresenceReady))
+	members.add(self.Member(model.PresenceReady))
 	n.backend = backend.New(backend.Config{URL: "http://" + n.server.address, HealthPath: "/healthz", HealthInterval: checkInterval})
 	suspects := quarantine.New(quarantine.Config{Self: self})
 	n.gate = gate.New(gate.Config{Self: self, Listener: traffic})
--- a/internal/service/gate/partners.go
+++ b/internal/service/gate/partners.go
@@ -37,6 +37,11 @@
 	Suspects() *kernel.Snapshot[quarantine.Table]
 }
 
+// members is the part of the membership service that the gate uses.
+type members interface {
+	ServiceMembers(name model.ServiceName) []model.Member
+}
+
 // watchdog tells whether the process was paused and has not synchronised since.
 type watchdog interface{ Fresh() bool }
 
@@ -53,6 +58,7 @@
 	config   configuration
 	server   server
 	suspects suspects
+	members  members
 	watchdog watchdog // nil if the node has none
 	timeline recorder
 	metrics  metrics
@@ -70,6 +76,9 @@
 	if p.suspects, err = kernel.Find[suspects](c, control.Quarantine); err != nil {
 		return p, err
 	}
+	if p.members, err = kernel.Find[members](c, control.Membership); err != nil {
+		return p, err
+	}
 	if p.timeline, err = kernel.Find[recorder](c, control.Timeline); err != nil {
 		return p, err
 	}
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -17,6 +17,10 @@
 func (s *Service) run(c *call) {
 	ctx, cancel := c.context(s.clock)
 	defer cancel()
+	if r := s.copyKey(ctx, c); r != nil {
+		s.endUncopied(c, r)
+		return
+	}
 	response, err := s.partners.server.Do(outgoing(ctx, c.r), c.deadline, c.Idempotent)
 	if err != nil {
 		s.failed(ctx, c, err)
@@ -52,6 +56,7 @@
 func (s *Service) failed(ctx context.Context, c *call, err error) {
 	var attempt mayHaveRun
 	if errors.As(err, &attempt) && !attempt.MayHaveRun() {
+		s.dropCopies(c)
 		s.endNotRun(c, notRun(s.notRunReason(ctx, c)))
 		return
 	}
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -33,7 +33,7 @@
 	t       *testing.T
 	clock   *testClock
 	ledger  *ledger
-	members []model.Member
+	members *memberList
 	nodes   map[string]*node
 	sends   map[string]*send
 	client  *http.Client
@@ -52,7 +52,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := &scenario{
 			t: t, clock: newTestClock(), ledger: &ledger{runs: map[string]int{}},
-			nodes: map[string]*node{}, sends: map[string]*send{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, // never replays
+			members: &memberList{}, nodes: map[string]*node{}, sends: map[string]*send{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, // never replays
 		}
 		t.Cleanup(s.close)
 		datadriven.RunTest(t, path, s.run)
@@ -89,7 +89,7 @@
 	case "start":
 		for _, arg := range d.CmdArgs {
 			service := &model.Service{Name: serviceName, Slots: 2, LongSlots: 1, Queue: 4}
-			s.nodes[arg.Key] = startNode(arg.Key, s.clock, s.ledger, &s.members, service)
+			s.nodes[arg.Key] = startNode(arg.Key, s.clock, s.ledger, s.members, service)
 		}
 	case "send":
 		s.begin(d, n)
@@ -135,7 +135,7 @@
 	case "stop":
 		go func() { n.stopped <- n.gate.Stop(context.Background()) }()
 	case "stopped":
-		return s.awaitStopped(n)
+		return fmt.Sprintln("error:", <-n.stopped)
 	case "in-flight": // returns when so many requests hold slots
 		waitFor(func() bool { return n.gate.Stats().InFlight == count })
 	case "suspects": // returns when the node knows so many
@@ -146,6 +146,13 @@
 		})
 	case "ledger":
 		return s.ledger.String()
+	case "gone": // the other nodes learn that the instance is gone
+		s.members.remove(to)
+	case "lose": // the instance ends without a word: node and server
+		_ = n.server.http.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_ = n.kernel.Stop(ctx)
 	case "stats":
 		st := n.gate.Stats()
 		return fmt.Sprintf("answered=%d replayed=%d refused=%v in-flight=%d queued=%d suspects=%d\n",
@@ -156,19 +163,6 @@
 	return ""
 }
 
-// awaitStopped advances the clock, so that the time of refusing ends.
-func (s *scenario) awaitStopped(n *node) string {
-	for {
-		select {
-		case err := <-n.stopped:
-			return fmt.Sprintln("error:", err)
-		default:
-			s.clock.fake.Advance(time.Second)
-			runtime.Gosched()
-		}
-	}
-}
-
 // storm sends one request many times at once and counts the different answers.
 func (s *scenario) storm(d *datadriven.TestData, n *node) string {
 	var count int
--- a/internal/service/gate/serve.go
+++ b/internal/service/gate/serve.go
@@ -2,18 +2,25 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/galenalever/galenalever/internal/decision/admission"
 	"github.com/galenalever/galenalever/internal/decision/dedupe"
 	"github.com/galenalever/galenalever/internal/decision/quarantine"
 	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/wire"
 )
 
-// ServeHTTP implements http.Handler for forwarded requests.
+// ServeHTTP implements http.Handler for forwarded requests and for the calls of
+// other gates.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	request, ok := hop.DecodeRequest(r.Header)
-	if !ok {
+	switch {
+	case !ok && strings.HasPrefix(r.URL.Path, wire.GatePathPrefix):
+		s.peerServer.ServeHTTP(w, r)
+		return
+	case !ok:
 		http.Error(w, "this address takes requests from nodes only", http.StatusBadRequest)
 		return
 	}
--- a/internal/service/gate/slots.go
+++ b/internal/service/gate/slots.go
@@ -170,6 +170,16 @@
 	s.refuse(c, r)
 }
 
+// endUncopied ends a call whose key could not be recorded at its keepers, or that
+// has run elsewhere.
+func (s *Service) endUncopied(c *call, r *refusal) {
+	if r.outcome == model.OutcomeNotRun {
+		s.endNotRun(c, r)
+		return
+	}
+	s.refuse(c, r) // the key stays remembered as one that may have run
+}
+
 // endAnswered ends a call that the server answered whole.
 func (s *Service) endAnswered(c *call, answer *dedupe.Answer) {
 	s.mu.Lock()
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -2,4 +2,4 @@
 // between nodes. Only adapters at the edge of the system import it.
 package wire
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative wire.proto
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative wire.proto wire.gate.proto
