--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -20,6 +20,7 @@
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
+	"github.com/galenalever/galenalever/internal/wire"
 )
 
 // Config configures the service.
@@ -41,6 +42,8 @@
 	timestamps *timeline.Clock
 	keepLate   bool
 	partners   partners
+	peers      *peerClient
+	peerServer http.Handler
 	http       *http.Server
 	served     chan struct{}
 	clock      clock.Clock
@@ -75,6 +78,8 @@
 		repeats:    make(map[dedupe.Waiter]chan dedupe.Decision),
 		idle:       make(chan struct{}),
 	}
+	s.peers = newPeerClient()
+	s.peerServer = wire.NewGateServer(keeper{gate: s})
 	s.http = newServer(s)
 	return s
 }
@@ -125,7 +130,8 @@
 }
 
 // Start implements kernel.Starter.
-func (s *Service) Start(context.Context) error {
+func (s *Service) Start(ctx context.Context) error {
+	go s.watchServer(ctx)
 	go func() {
 		defer close(s.served)
 		if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/service/gate/partners.go
+++ b/internal/service/gate/partners.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/health"
 	"github.com/galenalever/galenalever/internal/decision/quarantine"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
@@ -22,6 +23,7 @@
 // server is the part of the backend service that the gate uses.
 type server interface {
 	Available() bool
+	State() *kernel.Snapshot[health.State]
 	Do(r *http.Request, notAfter time.Time, idempotent bool) (*http.Response, error)
 	Crashed(ctx context.Context) bool
 }
@@ -35,6 +37,11 @@
 	Suspects() *kernel.Snapshot[quarantine.Table]
 }
 
+// members is the part of the membership service that the gate uses.
+type members interface {
+	ServiceMembers(name model.ServiceName) []model.Member
+}
+
 // watchdog tells whether the process was paused and has not synchronised since.
 type watchdog interface{ Fresh() bool }
 
@@ -51,6 +58,7 @@
 	config   configuration
 	server   server
 	suspects suspects
+	members  members
 	watchdog watchdog // nil if the node has none
 	timeline recorder
 	metrics  metrics
@@ -68,6 +76,9 @@
 	if p.suspects, err = kernel.Find[suspects](c, control.Quarantine); err != nil {
 		return p, err
 	}
+	if p.members, err = kernel.Find[members](c, control.Membership); err != nil {
+		return p, err
+	}
 	if p.timeline, err = kernel.Find[recorder](c, control.Timeline); err != nil {
 		return p, err
 	}
