Explain broken promises of the run under failures

The report named the node and the revisions but not how it came about. A violation now carries the cut, the origin and the held subtrees, and the merged time line is printed.

--- a/internal/standin/chaos/chaos.go
+++ b/internal/standin/chaos/chaos.go
@@ -14,6 +14,7 @@
 	"github.com/galenalever/galenalever/internal/findings"
 	"github.com/galenalever/galenalever/internal/standin/load"
 	"github.com/galenalever/galenalever/internal/standin/mesh"
+	"github.com/galenalever/galenalever/internal/timeline"
 )
 
 const (
@@ -105,7 +106,11 @@
 		return err
 	}
 	reports, converged := r.converge(ctx)
-	return r.verdict(reports, converged).Err()
+	faults := r.verdict(reports, converged)
+	if len(faults) > 0 {
+		r.printTimeline(ctx)
+	}
+	return faults.Err()
 }
 
 func (r *run) start(ctx context.Context) error {
@@ -197,6 +202,16 @@
 	}
 }
 
+// printTimeline prints the events that help to explain a broken promise.
+func (r *run) printTimeline(ctx context.Context) {
+	const nodeWidth = 14
+	for _, event := range r.observer.Events(ctx) {
+		if event.Kind != timeline.KindMemberChanged {
+			fmt.Fprintln(r.Out, " ", event.Format(nodeWidth))
+		}
+	}
+}
+
 func (r *run) print(records []load.Record, violations int) {
 	counts := load.Count(records)
 	fmt.Fprintf(r.Out, "seed %d, %s: %d requests", r.Seed, r.Duration, len(records))
--- a/internal/standin/chaos/striker.go
+++ b/internal/standin/chaos/striker.go
@@ -33,7 +33,6 @@
 	publisher *publisher
 	random    *rand.Rand
 	out       io.Writer
-	begin     time.Time
 	published int
 	repairs   sync.WaitGroup
 
@@ -50,7 +49,6 @@
 		publisher: p,
 		random:    rand.New(rand.NewPCG(seed, seed)),
 		out:       out,
-		begin:     time.Now(),
 		failing:   make(map[*mesh.Node]bool),
 	}
 }
@@ -87,7 +85,7 @@
 func (s *striker) logf(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	fmt.Fprintf(s.out, "%8s  %s\n", time.Since(s.begin).Round(time.Millisecond), fmt.Sprintf(format, args...))
+	fmt.Fprintf(s.out, "%s  %s\n", time.Now().UTC().Format("15:04:05.000"), fmt.Sprintf(format, args...))
 }
 
 // claim chooses a node that is not failing, unless too few would be left.
--- a/internal/standin/mesh/observer.go
+++ b/internal/standin/mesh/observer.go
@@ -142,12 +142,18 @@
 			}
 		}
 		for _, fault := range faults {
-			o.violations = append(o.violations, fmt.Sprintf("%s (incarnation %d): %s", id, report.Incarnation, fault))
+			o.violations = append(o.violations, describe(report, fault))
 		}
 		o.last[id] = report.Version
 	}
 }
 
+// describe returns one line on a fault and the state of the node.
+func describe(r status.Report, fault string) string {
+	return fmt.Sprintf("%s, up %s at %s: %s; cut %d, origin %s, held: %s", r.Instance, r.Uptime.Round(time.Millisecond),
+		time.Now().UTC().Format("15:04:05.000"), fault, r.Version.Cut, r.Upstream(), r.Version.HeldText())
+}
+
 // older tells in which respects a version is older than the one before.
 func older(before, now status.Version) []string {
 	var faults []string
