--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -10,6 +10,7 @@
 )
 
 type commands struct {
+	Config   configCommands   `cmd:"" help:"Work with settings trees."`
 	Version  kong.VersionFlag `help:"Print the version."`
 	Status   statusCommand    `cmd:"" help:"Show what each node knows and runs."`
 	Timeline timelineCommand  `cmd:"" help:"Merge the events of all nodes in order."`
