Publish the example trees in the demo and under failures

The stand-ins had their own copies of the documents, from before the examples existed. Package examples embeds them; the second and the racing versions add a route.

go test ./internal/standin/mesh ./internal/service/operator: ok.

--- a/internal/service/operator/pages.go
+++ b/internal/service/operator/pages.go
@@ -28,7 +28,7 @@
 func (s *Service) unmetConditions() []string {
 	var faults []string
 	if s.configuration != nil {
-		if c := s.current(); c == nil || c.Tree == nil {
+		if c := s.current(); c == nil || c.Cut.Revision == 0 {
 			faults = append(faults, "config: no configuration is in force")
 		}
 	}
--- a/internal/standin/chaos/chaos.go
+++ b/internal/standin/chaos/chaos.go
@@ -46,7 +46,7 @@
 
 // shapes are the requests of the Egyptian holding.
 func shapes() []load.Shape {
-	const host = "lots.example"
+	const host = "lelang.example"
 	return []load.Shape{
 		{Name: "read", Method: "GET", Host: host, Path: "/lots", Idempotent: true, Rate: 80, AnswerBytes: 2000},
 		{Name: "bid", Method: "POST", Host: host, Path: "/bids", Keyed: true, Rate: 60, BodyBytes: 200},
--- a/internal/standin/chaos/publisher.go
+++ b/internal/standin/chaos/publisher.go
@@ -1,7 +1,6 @@
 package chaos
 
 import (
-	"bytes"
 	"fmt"
 	"maps"
 	"sync"
@@ -25,31 +24,35 @@
 }
 
 func (p *publisher) publishAll() error {
-	if _, err := p.mesh.Publish(model.RootKey, mesh.Egypt().Document("root")); err != nil {
+	if err := p.mesh.PublishRoot(); err != nil {
 		return err
 	}
 	for _, team := range mesh.Egypt().Teams() {
-		if err := p.publishGood(team, 0); err != nil {
+		if err := p.publish(team, mesh.Egypt().Document(team), true); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// publishGood publishes a valid version of a team's document that differs from
-// the others by its number.
+// publishGood publishes a valid version of a team's document with a route that
+// carries the number.
 func (p *publisher) publishGood(team model.TeamName, number int) error {
-	text := mesh.Egypt().Document(string(team))
-	text = bytes.ReplaceAll(text, []byte("slow_start: 1s"), fmt.Appendf(nil, "slow_start: %dms", 1000+number))
-	return p.publish(team, text, true)
+	return p.publish(team, p.numbered(team, number, string(team)), true)
 }
 
-// publishBad publishes a version that must never be in force: a route to a
-// service that nobody declares.
+// publishBad publishes a version that must never be in force: it has a route to
+// a service that nobody declares.
 func (p *publisher) publishBad(team model.TeamName, number int) error {
-	text := mesh.Egypt().Document(string(team))
-	text = fmt.Appendf(text, "  broken-%d:\n    service: %s/missing-%d\n", number, team, number)
-	return p.publish(team, text, false)
+	return p.publish(team, p.numbered(team, number, "missing"), false)
+}
+
+// paths holds a path that each team is granted.
+var paths = map[model.TeamName]string{"catalogue": "/lots", "bidding": "/bids", "inspection": "/photographs"}
+
+func (p *publisher) numbered(team model.TeamName, number int, service string) []byte {
+	name := fmt.Sprintf("version-%d", number)
+	return mesh.AddRoute(mesh.Egypt().Document(team), name, paths[team]+"/"+name, service)
 }
 
 func (p *publisher) publish(team model.TeamName, text []byte, good bool) error {
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -146,7 +146,8 @@
 	}
 	key := model.TeamKey("katalog")
 	begin := time.Now()
-	second, err := r.mesh.Publish(key, mesh.Java().Document("katalog-2"))
+	document := mesh.AddRoute(mesh.Java().Document("katalog"), "prices", "/units/prices", "katalog")
+	second, err := r.mesh.Publish(key, document)
 	if err != nil {
 		return 0, err
 	}
