Check that a graceful shutdown cuts no call; resend bids on request

The run under failures took every broken connection for the work of a kill. It now remembers which processes were killed or paused, and reports a call cut by any other.

--- a/internal/standin/chaos/chaos.go
+++ b/internal/standin/chaos/chaos.go
@@ -40,6 +40,9 @@
 	Bin      string
 	Seed     uint64
 	Duration time.Duration
+	// ResendUnknown makes callers send bids again, with the same idempotency
+	// key, if they do not know whether they ran.
+	ResendUnknown bool
 	// Out receives the report.
 	Out io.Writer
 }
@@ -86,7 +89,8 @@
 		mesh:     m,
 		observer: observer,
 		generator: load.NewGenerator(load.Config{
-			Shapes: shapes(), Callers: m.Callers, Sends: sends, Prefix: fmt.Sprintf("chaos%d", c.Seed), Seed: c.Seed,
+			Shapes: shapes(), Callers: m.Callers, Sends: sends, ResendUnknown: c.ResendUnknown,
+			Prefix: fmt.Sprintf("chaos%d", c.Seed), Seed: c.Seed,
 		}),
 		publisher: newPublisher(m, observer),
 	}
@@ -179,6 +183,9 @@
 	for _, violation := range load.Violations(records, r.mesh.Ledger) {
 		list.Addf(place("calls"), "%s", violation)
 	}
+	for _, record := range r.cutByDrain(records) {
+		list.Addf(place("calls"), "cut by a node that was not killed or paused: %s", record)
+	}
 	if load.Count(records)[load.ResultAnswered] == 0 {
 		list.Addf(place("calls"), "no call was answered")
 	}
@@ -186,6 +193,20 @@
 	return list
 }
 
+// cutByDrain returns the requests whose connection broke although nothing but a
+// graceful shutdown befell the callers' node.
+func (r *run) cutByDrain(records []load.Record) []load.Record {
+	var cut []load.Record
+	for _, record := range records {
+		for _, send := range record.Sends {
+			if send.Result == load.ResultCut && !r.mesh.Disturbed(send.Address) {
+				cut = append(cut, record)
+			}
+		}
+	}
+	return cut
+}
+
 func (r *run) addLaggards(list *findings.List, reports mesh.Reports) {
 	for _, n := range r.mesh.Nodes {
 		report, ok := reports[n.ID]
--- a/internal/standin/load/generator.go
+++ b/internal/standin/load/generator.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/galenalever/galenalever/internal/hop"
@@ -33,6 +35,9 @@
 	// Sends is the largest number of sends of a request; those refused as not
 	// run are sent again to another node.
 	Sends int
+	// ResendUnknown also sends again requests with an idempotency key whose
+	// outcome the caller does not know.
+	ResendUnknown bool
 	// Prefix makes the IDs of this generator unique.
 	Prefix string
 	Seed   uint64
@@ -105,7 +110,7 @@
 			break
 		}
 		record.Sends = append(record.Sends, g.send(shape, record.ID, address))
-		if record.Last().Result != ResultNotRun {
+		if !g.resends(shape, record.Last().Result) {
 			break
 		}
 	}
@@ -117,6 +122,18 @@
 	g.records = append(g.records, record)
 }
 
+// resends tells whether a caller sends a request again after a result.
+func (g *Generator) resends(shape Shape, last Result) bool {
+	switch last {
+	case ResultNotRun:
+		return true
+	case ResultUnknown, ResultCut:
+		return shape.Keyed && g.config.ResendUnknown
+	default:
+		return false
+	}
+}
+
 func (g *Generator) nextID(shape Shape) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -152,6 +169,9 @@
 		return ResultCut, err.Error()
 	}
 	response, err := g.client.Do(request)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return ResultNotRun, "connection refused"
+	}
 	if err != nil {
 		return ResultCut, err.Error()
 	}
--- a/internal/standin/mesh/mesh.go
+++ b/internal/standin/mesh/mesh.go
@@ -49,6 +49,11 @@
 	config   Config
 	listener net.Listener
 	server   *http.Server
+
+	mu sync.Mutex
+	// disturbed holds the callers' addresses of processes that were killed or
+	// paused.
+	disturbed map[string]bool
 }
 
 // New starts the platform, the servers and the links, and no node yet.
@@ -57,6 +62,8 @@
 		Platform: platform.New(platform.Config{}),
 		Ledger:   backend.NewLedger(),
 		config:   c,
+
+		disturbed: make(map[string]bool),
 	}
 	if err := m.servePlatform(); err != nil {
 		return nil, err
@@ -143,6 +150,20 @@
 	return addresses
 }
 
+// Disturbed reports whether the process with a callers' address was killed or
+// paused.
+func (m *Mesh) Disturbed(callers string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.disturbed[callers]
+}
+
+func (m *Mesh) disturb(callers string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.disturbed[callers] = true
+}
+
 // peersOf returns control addresses for a node to ask first.
 func (m *Mesh) peersOf(n *Node) []string {
 	var peers []string
--- a/internal/standin/mesh/node.go
+++ b/internal/standin/mesh/node.go
@@ -109,6 +109,7 @@
 
 // Kill ends the process at once.
 func (n *Node) Kill() {
+	n.mesh.disturb(n.Addresses().Callers)
 	if p := n.detach(); p != nil {
 		p.kill()
 	}
@@ -135,6 +136,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.process != nil {
+		n.mesh.disturb(n.addresses.Callers)
 		n.paused = paused
 		n.process.signal(s)
 	}
--- a/internal/standin/meshes.go
+++ b/internal/standin/meshes.go
@@ -23,11 +23,12 @@
 	Bin      string        `help:"Folder of the programs." env:"STAND_BIN" default:"bin"`
 	Seed     uint64        `help:"Selects the failures." env:"STAND_SEED" default:"1"`
 	Duration time.Duration `help:"Time under failures." env:"STAND_DURATION" default:"1m"`
+	Resend   bool          `help:"Send bids of unknown outcome again, with the same idempotency key." env:"STAND_RESEND"`
 }
 
 // Run implements the command.
 func (c *chaosCommand) Run(w io.Writer) error {
 	ctx, stop := untilSignal()
 	defer stop()
-	return chaos.Run(ctx, chaos.Config{Bin: c.Bin, Seed: c.Seed, Duration: c.Duration, Out: w})
+	return chaos.Run(ctx, chaos.Config{Bin: c.Bin, Seed: c.Seed, Duration: c.Duration, ResendUnknown: c.Resend, Out: w})
 }
