--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if n := len(declarations.Services) + len(declarations.Routes) + len(declarations.Grants); n != len(subtree.Leaves) {
+	if n := len(declarations.Services) + len(declarations.Routes) + len(declarations.Grants) + len(declarations.Commands); n != len(subtree.Leaves) {
 		t.Fatalf("%d declarations from %d leaves", n, len(subtree.Leaves))
 	}
 	for _, leaf := range subtree.Leaves {
@@ -115,6 +115,7 @@
 func FuzzNewSubtree(f *testing.F) {
 	f.Add("root", []byte("teams: {a: {hosts: [a.example], paths: [/x]}}"))
 	f.Add("teams/a", []byte("team: a\nservices: {s: {slots: 2}}\nroutes: {r: {service: s, deadline: 1s}}"))
+	f.Add("teams/a", []byte("team: a\ncommands: {c: {parameters: [p], set: {services.s.slots: \"${p}\"}, expect: {in_force: true}}}"))
 	f.Add("teams/a", []byte("team: a\nteam: b\n&x [*x]"))
 	f.Add("teams/a", []byte("services:\n  - - - {? [a]: !!b c}\n---\n..."))
 	f.Fuzz(func(t *testing.T, key string, text []byte) {
