--- /dev/null
+++ b/internal/decision/members/main_test.go
@@ -0,0 +1,16 @@
+package members_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests; -rapid.seed takes another.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/decision/reading/reading_test.go
@@ -0,0 +1,127 @@
+package reading_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/galenalever/galenalever/internal/decision/members"
+	"github.com/galenalever/galenalever/internal/decision/reading"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// source is a platform that keeps every change.
+type source struct {
+	history []reading.KeyChange
+}
+
+func (s *source) publish(key model.Key, deleted bool) {
+	revision := model.Revision(len(s.history) + 1)
+	s.history = append(s.history, reading.KeyChange{Key: key, Revision: revision, Deleted: deleted})
+}
+
+// at returns the latest change of each key at a revision.
+func (s *source) at(revision model.Revision) map[model.Key]reading.KeyChange {
+	latest := make(map[model.Key]reading.KeyChange)
+	for _, c := range s.history[:revision] {
+		latest[c.Key] = c
+	}
+	return latest
+}
+
+func (s *source) list(after, shown model.Revision) []reading.KeyChange {
+	var out []reading.KeyChange
+	for _, c := range s.at(shown) {
+		if c.Revision > after && (after > 0 || !c.Deleted) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// TestCutsAreConsistent reads while values change and some answers come from an
+// old copy. Each cut must equal the platform's state at its revision.
+func TestCutsAreConsistent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		platform := &source{}
+		publish := func() {
+			key := model.Key(fmt.Sprintf("teams/%d", rapid.IntRange(0, 4).Draw(t, "key")))
+			platform.publish(key, rapid.IntRange(0, 5).Draw(t, "deleted") == 0)
+		}
+		// shown draws the revision at which a call is answered.
+		shown := func() model.Revision {
+			newest := model.Revision(len(platform.history))
+			if rapid.IntRange(0, 3).Draw(t, "stale") == 0 {
+				return model.Revision(rapid.Uint64Range(0, uint64(newest)).Draw(t, "shown"))
+			}
+			return newest
+		}
+		publish()
+		known := model.Cut{}
+		assembler := reading.NewAssembler(known)
+		for range rapid.IntRange(1, 60).Draw(t, "calls") {
+			if rapid.IntRange(0, 2).Draw(t, "change") == 0 {
+				publish()
+			}
+			call(assembler, platform, shown())
+			cut, ok := assembler.Cut()
+			if !ok {
+				continue
+			}
+			checkCut(t, platform, cut)
+			if cut.Revision <= known.Revision {
+				t.Fatalf("cut %d after %d", cut.Revision, known.Revision)
+			}
+			known = cut
+			assembler = reading.NewAssembler(known)
+		}
+	})
+}
+
+// call makes the call that the assembler needs next.
+func call(a *reading.Assembler, platform *source, shown model.Revision) {
+	key, unread := a.Next()
+	if !unread || a.NeedsListing() {
+		_ = a.Listed(shown, platform.list(a.After(), shown)) // a stale answer is refused
+		return
+	}
+	c, ok := platform.at(shown)[key]
+	if !ok || c.Deleted {
+		a.Missing(key)
+		return
+	}
+	_ = a.Read(&model.Subtree{Key: key, Revision: c.Revision})
+}
+
+func checkCut(t *rapid.T, platform *source, cut model.Cut) {
+	want := platform.at(cut.Revision)
+	for key, c := range want {
+		got := cut.Subtrees[key]
+		switch {
+		case c.Deleted && (got == nil || got.Removed):
+		case c.Deleted, got == nil, got.Removed, got.Revision != c.Revision:
+			t.Fatalf("cut %d: %s is %+v, the platform had %+v", cut.Revision, key, got, c)
+		}
+	}
+}
+
+func TestStaleListingIsRefused(t *testing.T) {
+	a := reading.NewAssembler(model.Cut{Revision: 7})
+	if err := a.Listed(6, nil); !errors.Is(err, reading.ErrStale) {
+		t.Errorf("error = %v, want %v", err, reading.ErrStale)
+	}
+}
+
+func TestInstancesMissingFromACompleteListingAreRemoved(t *testing.T) {
+	listed := func(id model.InstanceID, at model.Revision) model.Member {
+		return model.Member{ID: id, Listed: model.ListingLive, ListedAt: at}
+	}
+	announced := model.Member{ID: "new", Announced: model.Announcement{Incarnation: 1, Presence: model.PresenceReady}}
+	view, _ := members.New(1).With(listed("kept", 2), listed("lost", 3), listed("later", 9), announced)
+	removed := reading.Absent(view, 5, []model.Member{listed("kept", 2)})
+	if len(removed) != 1 || removed[0].ID != "lost" || removed[0].Listed != model.ListingRemoved {
+		t.Errorf("removed: %v", removed)
+	}
+}
--- a/internal/service/exchange/cursors.go
+++ b/internal/service/exchange/cursors.go
@@ -35,9 +35,3 @@
 	}
 	c.byAddress[address] = cursor
 }
-
-func (c *cursors) forget(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.byAddress, address)
-}
--- a/internal/service/exchange/exchange.go
+++ b/internal/service/exchange/exchange.go
@@ -73,6 +73,7 @@
 	log       *slog.Logger
 	timeline  recorder
 	watchdog  freshness
+	suspects  suspectHandler
 	states    *kernel.Snapshot[*model.Configuration]
 	members   *kernel.Snapshot[*members.View]
 	dial      func(address string) wire.Exchange
@@ -167,6 +168,9 @@
 	if page, err := kernel.Find[statusPage](c, control.Operator); err == nil {
 		page.AddStatus(control.Exchange, s.status)
 	}
+	if handler, err := kernel.Find[suspectHandler](c, control.Quarantine); err == nil {
+		s.suspects = handler
+	}
 }
 
 // Start implements kernel.Starter.
--- a/internal/service/exchange/server.go
+++ b/internal/service/exchange/server.go
@@ -183,8 +183,3 @@
 	}
 	return &wire.AnnounceResponse{}, nil
 }
-
-// Suspect implements wire.Exchange.
-func (s *Service) Suspect(context.Context, *wire.SuspectRequest) (*wire.SuspectResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "this node has no quarantine")
-}
--- /dev/null
+++ b/internal/service/exchange/suspect.go
@@ -0,0 +1,27 @@
+package exchange
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/galenalever/galenalever/internal/decision/quarantine"
+	"github.com/galenalever/galenalever/internal/wire"
+	"github.com/galenalever/galenalever/internal/wire/wireconv"
+)
+
+// suspectHandler is what the service uses of the quarantine service, which a
+// node may lack.
+type suspectHandler interface {
+	HandleSuspects(node string, in []quarantine.Suspect) []quarantine.Suspect
+}
+
+// Suspect implements wire.Exchange.
+func (s *Service) Suspect(_ context.Context, request *wire.SuspectRequest) (*wire.SuspectResponse, error) {
+	if s.suspects == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this node has no quarantine")
+	}
+	now := s.clock.Now()
+	known := s.suspects.HandleSuspects(request.GetNode(), wireconv.SuspectsFromWire(request.GetSuspects(), now))
+	return &wire.SuspectResponse{Suspects: wireconv.SuspectsToWire(known, now)}, nil
+}
