Clear suspects everywhere once they have run without a crash

Cause: every request that was running when a server crashed is a suspect. A popular read that was there by chance ran at one server only and was refused by all other gates for 10 minutes. Change: a suspect's record holds single crashes (instance and time) and those that are cleared, both as sets, so records still merge in any order. The gate where it ran alone clears the crashes it knew and tells the others. Requests with a body and no key are not cleared, since others of equal length share their fingerprint. wire.Suspect carries the two sets. Ruled out: an epoch per record (a late notice of the old epoch is lost), a shorter expiry (merging by the smaller one is not associative).

--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -6,6 +6,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -24,41 +25,70 @@
 	maxSuspects = 1024
 )
 
+// Crash identifies one crash of one instance.
+type Crash struct {
+	Instance model.InstanceID
+	// Time is when the instance's node noticed it, in milliseconds since the
+	// Unix epoch. It tells crashes of one instance apart.
+	Time int64
+}
+
+// compare orders crashes.
+func (c Crash) compare(other Crash) int {
+	return cmp.Or(cmp.Compare(c.Instance, other.Instance), cmp.Compare(c.Time, other.Time))
+}
+
 // Suspect is what is known of one fingerprint. Records of different nodes merge
 // to the same result in any order and however often they arrive.
 type Suspect struct {
 	Fingerprint Fingerprint
-	// Crashed are the instances that crashed while the request ran, sorted and
-	// without repetition.
-	Crashed []model.InstanceID
+	// Crashes are those during which the request ran, sorted and without
+	// repetition.
+	Crashes []Crash
+	// Cleared are those after which the request ran without another one, in the
+	// same form.
+	Cleared []Crash
 	Expires time.Time
 }
 
+// Crashed returns the instances with crashes that are not cleared, sorted.
+func (s Suspect) Crashed() []model.InstanceID {
+	var out []model.InstanceID
+	for _, c := range s.Crashes {
+		if !slices.Contains(s.Cleared, c) {
+			out = append(out, c.Instance)
+		}
+	}
+	return slices.Compact(out)
+}
+
 // Quarantined reports whether the request has crashed so many servers that it
 // is refused everywhere.
-func (s Suspect) Quarantined() bool { return len(s.Crashed) >= crashLimit }
+func (s Suspect) Quarantined() bool { return len(s.Crashed()) >= crashLimit }
 
 // Merge combines two records of one fingerprint.
 func Merge(a, b Suspect) Suspect {
-	crashed := slices.Concat(a.Crashed, b.Crashed)
-	slices.Sort(crashed)
 	expires := a.Expires
 	if b.Expires.After(expires) {
 		expires = b.Expires
 	}
-	return Suspect{Fingerprint: a.Fingerprint, Crashed: slices.Compact(crashed), Expires: expires}
+	return Suspect{
+		Fingerprint: a.Fingerprint,
+		Crashes:     union(a.Crashes, b.Crashes),
+		Cleared:     union(a.Cleared, b.Cleared),
+		Expires:     expires,
+	}
 }
 
-// record is a suspect with what this node alone knows of it.
-type record struct {
-	Suspect
-	// cleared is the number of crashes after which the request ran here without
-	// another one.
-	cleared int
+// union returns the crashes of a and b, sorted and without repetition.
+func union(a, b []Crash) []Crash {
+	all := slices.Concat(a, b)
+	slices.SortFunc(all, Crash.compare)
+	return slices.Compact(all)
 }
 
 // Table is an immutable set of records. The zero value is empty.
-type Table struct{ records map[Fingerprint]record }
+type Table struct{ records map[Fingerprint]Suspect }
 
 // Len returns the number of records.
 func (t Table) Len() int { return len(t.records) }
@@ -68,7 +98,7 @@
 	var out []Suspect
 	for _, r := range t.records {
 		if r.Expires.After(now) {
-			out = append(out, r.Suspect)
+			out = append(out, r)
 		}
 	}
 	slices.SortFunc(out, func(a, b Suspect) int {
@@ -91,7 +121,7 @@
 func (t Table) Add(in []Suspect, now time.Time) (Table, Changes) {
 	next, changes := t.Expire(now)
 	for _, s := range in {
-		if !s.Expires.After(now) || len(s.Crashed) == 0 {
+		if !s.Expires.After(now) || len(s.Crashes) == 0 {
 			continue
 		}
 		if limit := now.Add(Duration); s.Expires.After(limit) {
@@ -104,23 +134,26 @@
 }
 
 func (t Table) merge(s Suspect, changes *Changes) {
-	old, known := t.records[s.Fingerprint]
-	merged := record{Suspect: Merge(s, old.Suspect), cleared: old.cleared}
+	old := t.records[s.Fingerprint]
+	merged := Merge(s, old)
 	t.records[s.Fingerprint] = merged
+	before, after := len(old.Crashed()), len(merged.Crashed())
 	switch {
-	case merged.Quarantined() && !old.Quarantined():
+	case before < crashLimit && after >= crashLimit:
 		changes.Quarantined = append(changes.Quarantined, s.Fingerprint)
-	case !known:
+	case before == 0 && after > 0:
 		changes.Suspected = append(changes.Suspected, s.Fingerprint)
+	case before > 0 && after == 0:
+		changes.Ended = append(changes.Ended, s.Fingerprint)
 	}
 }
 
 // shrink removes the records that expire first while there are too many.
 func (t Table) shrink() {
 	for len(t.records) > maxSuspects {
-		var first record
+		var first Suspect
 		for _, r := range t.records {
-			if first.Crashed == nil || r.Expires.Before(first.Expires) {
+			if first.Crashes == nil || r.Expires.Before(first.Expires) {
 				first = r
 			}
 		}
@@ -132,7 +165,7 @@
 func (t Table) Expire(now time.Time) (Table, Changes) {
 	next := Table{records: maps.Clone(t.records)}
 	if next.records == nil {
-		next.records = make(map[Fingerprint]record)
+		next.records = make(map[Fingerprint]Suspect)
 	}
 	var changes Changes
 	for f, r := range next.records {
@@ -144,26 +177,6 @@
 	return next, changes
 }
 
-// Clear returns a copy in which a suspect that ran without a crash counts as
-// harmless on this node until it crashes another server.
-func (t Table) Clear(f Fingerprint) Table {
-	r, ok := t.records[f]
-	if !ok {
-		return t
-	}
-	next := Table{records: maps.Clone(t.records)}
-	r.cleared = len(r.Crashed)
-	next.records[f] = r
-	return next
-}
-
-// Cleared reports whether a suspect has run on this node without a crash since
-// its last one.
-func (t Table) Cleared(f Fingerprint) bool {
-	r, ok := t.records[f]
-	return ok && r.cleared == len(r.Crashed)
-}
-
 // Verdict is the decision on one request.
 type Verdict uint8
 
@@ -179,10 +192,18 @@
 	Quarantined
 )
 
-// Decision is the verdict and, for all but Clear, when the record expires.
+// Decision is the verdict and, for all but Clear, what it rests on.
 type Decision struct {
 	Verdict Verdict
-	Expires time.Time
+	Suspect Suspect
+}
+
+// Cleared returns the record that clears the suspect after it has run without a
+// crash. It clears only the crashes known when the decision was made.
+func (d Decision) Cleared() Suspect {
+	s := d.Suspect
+	s.Cleared = s.Crashes
+	return s
 }
 
 // Decide returns the verdict on a request at the server self. The members are
@@ -192,14 +213,15 @@
 	if !ok || !r.Expires.After(now) {
 		return Decision{Verdict: Clear}
 	}
-	d := Decision{Verdict: RunElsewhere, Expires: r.Expires}
+	crashed := r.Crashed()
+	d := Decision{Verdict: RunElsewhere, Suspect: r}
 	switch {
-	case r.Quarantined():
+	case len(crashed) == 0:
+		return Decision{Verdict: Clear}
+	case len(crashed) >= crashLimit:
 		d.Verdict = Quarantined
-	case r.cleared == len(r.Crashed):
-		d.Verdict = Clear
-	case slices.Contains(r.Crashed, self):
-	case Designated(f, r.Crashed, self, members) == self:
+	case slices.Contains(crashed, self):
+	case Designated(f, crashed, self, members) == self:
 		d.Verdict = RunAlone
 	}
 	return d
--- a/internal/service/gate/call.go
+++ b/internal/service/gate/call.go
@@ -29,8 +29,8 @@
 	// have recorded it.
 	idempotencyKey string
 	copies         []model.Member
-	// exclusive is true for a suspect that runs alone.
-	exclusive bool
+	// suspicion is the quarantine's decision on the request.
+	suspicion quarantine.Decision
 
 	// The fields below are set and cleared in the gate's critical section.
 	ticket admission.Ticket
@@ -80,6 +80,15 @@
 	return clock.WithTimeout(parent, clk, c.deadline.Sub(clk.Now()))
 }
 
+// exclusive reports whether the request is a suspect that runs alone.
+func (c *call) exclusive() bool { return c.suspicion.Verdict == quarantine.RunAlone }
+
+// identified reports whether requests with this fingerprint cannot differ in
+// their bodies, so that a harmless one speaks for the others.
+func (c *call) identified() bool {
+	return c.r.ContentLength == 0 || c.r.Header.Get(idempotencyHeader) != ""
+}
+
 // refusal is the end of a call that is not answered by the server.
 type refusal struct {
 	outcome    model.Outcome
--- a/internal/service/gate/partners.go
+++ b/internal/service/gate/partners.go
@@ -33,7 +33,7 @@
 	Prepared() bool
 	Decide(f quarantine.Fingerprint) quarantine.Decision
 	Report(ctx context.Context, fingerprints []quarantine.Fingerprint)
-	RanAlone(f quarantine.Fingerprint)
+	RanAlone(d quarantine.Decision)
 	Suspects() *kernel.Snapshot[quarantine.Table]
 }
 
--- a/internal/service/gate/relay.go
+++ b/internal/service/gate/relay.go
@@ -47,8 +47,8 @@
 	}
 	s.endAnswered(c, r.answer(response))
 	s.counters.countAnswered()
-	if c.exclusive {
-		s.partners.suspects.RanAlone(c.fingerprint)
+	if c.exclusive() && c.identified() {
+		s.partners.suspects.RanAlone(c.suspicion)
 	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/internal/service/gate/serve.go
+++ b/internal/service/gate/serve.go
@@ -88,15 +88,13 @@
 // suspect applies the quarantine. A quarantined request is not reported as not
 // run, since an earlier send of it did run.
 func (s *Service) suspect(c *call) *refusal {
-	d := s.partners.suspects.Decide(c.fingerprint)
-	switch d.Verdict {
-	case quarantine.RunAlone:
-		c.exclusive = true
+	c.suspicion = s.partners.suspects.Decide(c.fingerprint)
+	switch c.suspicion.Verdict {
 	case quarantine.RunElsewhere:
 		return notRun(model.ReasonSuspect)
 	case quarantine.Quarantined:
 		r := unknown(model.ReasonQuarantined)
-		r.retryAfter = d.Expires.Sub(s.clock.Now())
+		r.retryAfter = c.suspicion.Suspect.Expires.Sub(s.clock.Now())
 		return r
 	}
 	return nil
--- a/internal/service/gate/stats.go
+++ b/internal/service/gate/stats.go
@@ -93,10 +93,11 @@
 
 // Suspect is a request that was running when a server crashed.
 type Suspect struct {
-	Fingerprint string             `json:"fingerprint"`
-	Crashed     []model.InstanceID `json:"crashed"`
+	Fingerprint string `json:"fingerprint"`
+	// Crashed are the servers that count against it.
+	Crashed     []model.InstanceID `json:"crashed,omitempty"`
 	Quarantined bool               `json:"quarantined"`
-	// Cleared means that it has run here since without a crash.
+	// Cleared means that it has run since without a crash.
 	Cleared bool `json:"cleared,omitempty"`
 	// ExpiresIn is the time until the record ends.
 	ExpiresIn time.Duration `json:"expires_in_ns"`
@@ -124,9 +125,9 @@
 	for _, s := range table.Suspects(now) {
 		out = append(out, Suspect{
 			Fingerprint: s.Fingerprint.String(),
-			Crashed:     s.Crashed,
+			Crashed:     s.Crashed(),
 			Quarantined: s.Quarantined(),
-			Cleared:     table.Cleared(s.Fingerprint),
+			Cleared:     len(s.Crashed()) == 0,
 			ExpiresIn:   s.Expires.Sub(now),
 		})
 	}
--- a/internal/service/quarantine/handlers.go
+++ b/internal/service/quarantine/handlers.go
@@ -12,17 +12,13 @@
 	suspects []quarantine.Suspect
 	// applied is closed when the snapshot holds the suspects.
 	applied chan<- struct{}
+	// spread asks to exchange suspects with the peers.
+	spread bool
 }
 
 // MessageName implements kernel.Message.
 func (received) MessageName() string { return "suspects-received" }
 
-// ranAlone tells that a suspect ran without a crash.
-type ranAlone struct{ fingerprint quarantine.Fingerprint }
-
-// MessageName implements kernel.Message.
-func (ranAlone) MessageName() string { return "suspect-ran-alone" }
-
 // expiryDue asks to remove records that have ended.
 type expiryDue struct{}
 
@@ -39,10 +35,9 @@
 	close(m.applied)
 	s.record(changes)
 	s.loop.After(quarantine.Duration+expirySlack, expiryDue{})
-}
-
-func (s *Service) handleRanAlone(m ranAlone) {
-	s.table.Store(s.table.Load().Clear(m.fingerprint))
+	if m.spread {
+		s.requestPull()
+	}
 }
 
 func (s *Service) handleExpiryDue(expiryDue) {
--- a/internal/service/quarantine/notify.go
+++ b/internal/service/quarantine/notify.go
@@ -13,6 +13,7 @@
 	"github.com/galenalever/galenalever/internal/decision/quarantine"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/wire"
+	"github.com/galenalever/galenalever/internal/wire/wireconv"
 )
 
 const (
@@ -78,7 +79,7 @@
 // context ends, and reports whether all have.
 func (s *Service) notify(ctx context.Context, suspects []quarantine.Suspect) bool {
 	var failed atomic.Bool
-	request := encode(string(s.self.ID), suspects, s.clock.Now())
+	request := &wire.SuspectRequest{Node: string(s.self.ID), Suspects: wireconv.SuspectsToWire(suspects, s.clock.Now())}
 	var group sync.WaitGroup
 	slots := make(chan struct{}, maxParallelCalls)
 	for _, peer := range s.peers() {
@@ -113,41 +114,8 @@
 	if err != nil {
 		return eris.Wrapf(err, "notice to %s", peer.ID)
 	}
-	if known := decode(answer.Suspects, s.clock.Now()); len(known) > 0 {
+	if known := wireconv.SuspectsFromWire(answer.GetSuspects(), s.clock.Now()); len(known) > 0 {
 		s.apply(ctx, known)
 	}
 	return nil
 }
-
-func encode(node string, suspects []quarantine.Suspect, now time.Time) *wire.SuspectRequest {
-	request := &wire.SuspectRequest{Node: node}
-	for _, s := range suspects {
-		crashed := make([]string, len(s.Crashed))
-		for i, id := range s.Crashed {
-			crashed[i] = string(id)
-		}
-		request.Suspects = append(request.Suspects, &wire.Suspect{
-			Fingerprint:           uint64(s.Fingerprint),
-			Crashes:               uint32(len(crashed)),
-			Crashed:               crashed,
-			ExpiresInMilliseconds: uint32(max(0, s.Expires.Sub(now).Milliseconds())),
-		})
-	}
-	return request
-}
-
-func decode(in []*wire.Suspect, now time.Time) []quarantine.Suspect {
-	var out []quarantine.Suspect
-	for _, s := range in {
-		crashed := make([]model.InstanceID, len(s.Crashed))
-		for i, id := range s.Crashed {
-			crashed[i] = model.InstanceID(id)
-		}
-		out = append(out, quarantine.Suspect{
-			Fingerprint: quarantine.Fingerprint(s.Fingerprint),
-			Crashed:     crashed,
-			Expires:     now.Add(time.Duration(s.ExpiresInMilliseconds) * time.Millisecond),
-		})
-	}
-	return out
-}
--- a/internal/service/quarantine/quarantine.go
+++ b/internal/service/quarantine/quarantine.go
@@ -89,7 +89,6 @@
 		return err
 	}
 	kernel.Subscribe(c.Loop, s.handleReceived)
-	kernel.Subscribe(c.Loop, s.handleRanAlone)
 	kernel.Subscribe(c.Loop, s.handleExpiryDue)
 	kernel.Subscribe(c.Loop, func(control.Synchronised) { s.requestPull() })
 	return nil
@@ -135,10 +134,11 @@
 func (s *Service) Report(ctx context.Context, fingerprints []quarantine.Fingerprint) {
 	ctx, cancel := clock.WithTimeout(ctx, s.clock, noticeTimeout)
 	defer cancel()
-	expires := s.clock.Now().Add(quarantine.Duration)
+	now := s.clock.Now()
+	crashes := []quarantine.Crash{{Instance: s.self.ID, Time: now.UnixMilli()}}
 	suspects := make([]quarantine.Suspect, len(fingerprints))
 	for i, f := range fingerprints {
-		suspects[i] = quarantine.Suspect{Fingerprint: f, Crashed: []model.InstanceID{s.self.ID}, Expires: expires}
+		suspects[i] = quarantine.Suspect{Fingerprint: f, Crashes: crashes, Expires: now.Add(quarantine.Duration)}
 	}
 	s.apply(ctx, suspects)
 	if !s.notify(ctx, suspects) {
@@ -147,7 +147,11 @@
 }
 
 // RanAlone tells that a suspect ran alone on this node's server without a crash.
-func (s *Service) RanAlone(f quarantine.Fingerprint) { s.loop.TryPost(ranAlone{fingerprint: f}) }
+// The other gates learn it soon.
+func (s *Service) RanAlone(d quarantine.Decision) {
+	message := received{suspects: []quarantine.Suspect{d.Cleared()}, applied: make(chan struct{}), spread: true}
+	s.loop.TryPost(message)
+}
 
 // HandleSuspects takes the suspects of the peer node into account and returns
 // those that this node knows. The exchange service calls it for peers' calls.
