Bound a caller's node that does not read; show the gate on the status page

Cause: a caller's node that stopped reading an answer held a slot of the server for up to the write limit of an hour. Trial on a scratch copy without the bound: scenario stuck_caller does not end (stopped after 8 s). Result: go test -race -count=3 passes.

--- a/internal/service/gate/answer.go
+++ b/internal/service/gate/answer.go
@@ -8,11 +8,13 @@
 	"github.com/galenalever/galenalever/internal/decision/dedupe"
 	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/timeline"
 )
 
 // refuse answers a call that the server does not answer.
 func (s *Service) refuse(c *call, r *refusal) {
 	s.counters.countRefused(r.reason)
+	s.noteOverload(r.reason)
 	header := c.w.Header()
 	s.stamp(c, hop.Response{Outcome: r.outcome, Reason: r.reason, RetryAfter: r.retryAfter})
 	if r.retryAfter > 0 {
@@ -22,6 +24,20 @@
 	http.Error(c.w, r.outcome.String()+": "+string(r.reason), status(r))
 }
 
+// overloadInterval is the least time between two events about overload.
+const overloadInterval = 10 * time.Second
+
+// noteOverload records now and then that requests are refused for lack of slots.
+func (s *Service) noteOverload(reason model.Reason) {
+	if reason != model.ReasonQueueFull && reason != model.ReasonLate {
+		return
+	}
+	now, last := s.clock.Now().UnixNano(), s.overload.Load()
+	if now-last >= int64(overloadInterval) && s.overload.CompareAndSwap(last, now) {
+		s.partners.timeline.Record(timeline.KindOverload, string(reason))
+	}
+}
+
 // status returns the HTTP status of a refusal.
 func status(r *refusal) int {
 	switch r.reason {
@@ -54,6 +70,7 @@
 // gate. A gate that is leaving also closes its connections.
 func (s *Service) stamp(c *call, r hop.Response) {
 	r.ID, r.Incarnation, r.Load = c.ID, s.self.Incarnation, s.load()
+	s.counters.observe(r.Load)
 	if s.timestamps != nil {
 		r.Time = s.timestamps.Now()
 	}
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -50,6 +50,7 @@
 	log        *slog.Logger
 	leaving    atomic.Bool
 	counters   *counters
+	overload   atomic.Int64 // time of the last event about overload, in ns
 
 	mu        sync.Mutex
 	tickets   admission.Ticket
@@ -123,6 +124,9 @@
 		return err
 	}
 	s.counters = newCounters(s.partners.metrics.Scope())
+	if s.partners.page != nil {
+		s.partners.page.AddStatus(control.Gate, func() any { return s.Stats() })
+	}
 	kernel.Subscribe(c.Loop, s.handleConfigurationChanged)
 	kernel.Subscribe(c.Loop, s.handlePresenceChanged)
 	s.configure()
--- a/internal/service/gate/partners.go
+++ b/internal/service/gate/partners.go
@@ -53,13 +53,19 @@
 // metrics is the part of the metrics service that the gate uses.
 type metrics interface{ Scope() tally.Scope }
 
+// statusPage is the part of the operator service that the gate uses.
+type statusPage interface {
+	AddStatus(section string, f func() any)
+}
+
 // partners are the services that the gate uses.
 type partners struct {
 	config   configuration
 	server   server
 	suspects suspects
 	members  members
-	watchdog watchdog // nil if the node has none
+	watchdog watchdog   // nil if the node has none
+	page     statusPage // nil if the node has none
 	timeline recorder
 	metrics  metrics
 }
@@ -86,6 +92,7 @@
 		return p, err
 	}
 	p.watchdog, _ = kernel.Find[watchdog](c, control.Watchdog)
+	p.page, _ = kernel.Find[statusPage](c, control.Operator)
 	return p, nil
 }
 
--- a/internal/service/gate/relay.go
+++ b/internal/service/gate/relay.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -35,6 +36,7 @@
 	hop.Strip(response.Header)
 	stripConnectionHeaders(response.Header)
 	r := recordingFor(c, response)
+	defer limitWriting(c.w, c.deadline.Sub(s.clock.Now()))()
 	s.writeHeader(c, response)
 	err := s.copyBody(c, response, r)
 	if err != nil && !errors.Is(err, errCallerGone) {
@@ -58,6 +60,19 @@
 	}
 }
 
+// writeGrace is how long after the deadline the caller's node may read the end
+// of an answer.
+const writeGrace = 100 * time.Millisecond
+
+// limitWriting bounds the time for which a caller's node that does not read holds
+// a slot. The returned function lifts the bound. The connection's deadline is in
+// system time. A writer without deadlines is left alone.
+func limitWriting(w http.ResponseWriter, left time.Duration) func() {
+	controller := http.NewResponseController(w)
+	_ = controller.SetWriteDeadline(time.Now().Add(left + writeGrace))
+	return func() { _ = controller.SetWriteDeadline(time.Time{}) }
+}
+
 func (s *Service) writeHeader(c *call, response *http.Response) {
 	header := c.w.Header()
 	for name, values := range response.Header {
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -218,6 +218,12 @@
 	}
 	r.Header.Set("X-Test-Id", out.name)
 	s.sends[id+sent] = out
+	if d.HasArg("unread") {
+		response, err := s.client.Do(r)
+		must(err)
+		s.t.Cleanup(func() { _ = response.Body.Close() })
+		return
+	}
 	go func() { out.result <- s.do(r, id) }()
 }
 
--- a/internal/service/gate/server_test.go
+++ b/internal/service/gate/server_test.go
@@ -108,6 +108,13 @@
 		conn, _, _ := http.NewResponseController(w).Hijack()
 		_ = conn.Close()
 		return
+	case "/large":
+		for range 1000 {
+			if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+				return
+			}
+		}
+		return
 	case "/truncate":
 		if r.Method == http.MethodGet {
 			w.Header().Set("Content-Length", "100000")
--- a/internal/service/gate/stats.go
+++ b/internal/service/gate/stats.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/galenalever/galenalever/internal/decision/quarantine"
+	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
@@ -17,6 +18,8 @@
 	scope    tally.Scope
 	answered tally.Counter
 	replayed tally.Counter
+	inFlight tally.Gauge
+	queued   tally.Gauge
 
 	mu     sync.Mutex
 	totals totals
@@ -35,11 +38,19 @@
 		scope:    scope,
 		answered: scope.Counter("gate_answered"),
 		replayed: scope.Counter("gate_replayed"),
+		inFlight: scope.Gauge("gate_in_flight"),
+		queued:   scope.Gauge("gate_queued"),
 		totals:   totals{refused: make(map[model.Reason]uint64)},
 		refused:  make(map[model.Reason]tally.Counter),
 	}
 }
 
+// observe notes the occupancy as the gate answers a request.
+func (c *counters) observe(l hop.Load) {
+	c.inFlight.Update(float64(l.InFlight))
+	c.queued.Update(float64(l.Queued))
+}
+
 func (c *counters) countAnswered() {
 	c.answered.Inc(1)
 	c.mu.Lock()
