--- a/internal/service/gate/stats.go
+++ b/internal/service/gate/stats.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/galenalever/galenalever/internal/decision/quarantine"
+	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
@@ -17,6 +18,8 @@
 	scope    tally.Scope
 	answered tally.Counter
 	replayed tally.Counter
+	inFlight tally.Gauge
+	queued   tally.Gauge
 
 	mu     sync.Mutex
 	totals totals
@@ -35,11 +38,19 @@
 		scope:    scope,
 		answered: scope.Counter("gate_answered"),
 		replayed: scope.Counter("gate_replayed"),
+		inFlight: scope.Gauge("gate_in_flight"),
+		queued:   scope.Gauge("gate_queued"),
 		totals:   totals{refused: make(map[model.Reason]uint64)},
 		refused:  make(map[model.Reason]tally.Counter),
 	}
 }
 
+// observe notes the occupancy as the gate answers a request.
+func (c *counters) observe(l hop.Load) {
+	c.inFlight.Update(float64(l.InFlight))
+	c.queued.Update(float64(l.Queued))
+}
+
 func (c *counters) countAnswered() {
 	c.answered.Inc(1)
 	c.mu.Lock()
@@ -93,10 +104,11 @@
 
 // Suspect is a request that was running when a server crashed.
 type Suspect struct {
-	Fingerprint string             `json:"fingerprint"`
-	Crashed     []model.InstanceID `json:"crashed"`
+	Fingerprint string `json:"fingerprint"`
+	// Crashed are the servers that count against it.
+	Crashed     []model.InstanceID `json:"crashed,omitempty"`
 	Quarantined bool               `json:"quarantined"`
-	// Cleared means that it has run here since without a crash.
+	// Cleared means that it has run since without a crash.
 	Cleared bool `json:"cleared,omitempty"`
 	// ExpiresIn is the time until the record ends.
 	ExpiresIn time.Duration `json:"expires_in_ns"`
@@ -124,9 +136,9 @@
 	for _, s := range table.Suspects(now) {
 		out = append(out, Suspect{
 			Fingerprint: s.Fingerprint.String(),
-			Crashed:     s.Crashed,
+			Crashed:     s.Crashed(),
 			Quarantined: s.Quarantined(),
-			Cleared:     table.Cleared(s.Fingerprint),
+			Cleared:     len(s.Crashed()) == 0,
 			ExpiresIn:   s.Expires.Sub(now),
 		})
 	}
--- a/internal/wire/wireconv/suspect.go
+++ b/internal/wire/wireconv/suspect.go
@@ -12,14 +12,10 @@
 func SuspectsToWire(suspects []quarantine.Suspect, now time.Time) []*wire.Suspect {
 	var out []*wire.Suspect
 	for _, s := range suspects {
-		crashed := make([]string, len(s.Crashed))
-		for i, id := range s.Crashed {
-			crashed[i] = string(id)
-		}
 		out = append(out, &wire.Suspect{
 			Fingerprint:           uint64(s.Fingerprint),
-			Crashes:               uint32(len(crashed)),
-			Crashed:               crashed,
+			Crashes:               crashesToWire(s.Crashes),
+			Cleared:               crashesToWire(s.Cleared),
 			ExpiresInMilliseconds: uint32(max(0, s.Expires.Sub(now).Milliseconds())),
 		})
 	}
@@ -30,15 +26,28 @@
 func SuspectsFromWire(messages []*wire.Suspect, now time.Time) []quarantine.Suspect {
 	var out []quarantine.Suspect
 	for _, m := range messages {
-		crashed := make([]model.InstanceID, len(m.GetCrashed()))
-		for i, id := range m.GetCrashed() {
-			crashed[i] = model.InstanceID(id)
-		}
 		out = append(out, quarantine.Suspect{
 			Fingerprint: quarantine.Fingerprint(m.GetFingerprint()),
-			Crashed:     crashed,
+			Crashes:     crashesFromWire(m.GetCrashes()),
+			Cleared:     crashesFromWire(m.GetCleared()),
 			Expires:     now.Add(time.Duration(m.GetExpiresInMilliseconds()) * time.Millisecond),
 		})
 	}
 	return out
 }
+
+func crashesToWire(crashes []quarantine.Crash) []*wire.Crash {
+	var out []*wire.Crash
+	for _, c := range crashes {
+		out = append(out, &wire.Crash{Instance: string(c.Instance), Time: c.Time})
+	}
+	return out
+}
+
+func crashesFromWire(messages []*wire.Crash) []quarantine.Crash {
+	var out []quarantine.Crash
+	for _, m := range messages {
+		out = append(out, quarantine.Crash{Instance: model.InstanceID(m.GetInstance()), Time: m.GetTime()})
+	}
+	return out
+}
