--- a/internal/decision/balance/statistics.go
+++ b/internal/decision/balance/statistics.go
@@ -50,17 +50,21 @@
 	// latencyFloor is the smallest latency in a cost, so that load counts also
 	// when nothing is known of the latency.
 	latencyFloor = 200 * time.Microsecond
+	// maxDoublings bounds the effect of failures on the cost.
+	maxDoublings = 6
 	// riseWeight and fallWeight are the shares of a new sample above or below
 	// the smoothed latency.
 	riseWeight = 0.5
 	fallWeight = 0.15
 )
 
-// Smooth adds a sample to a smoothed latency. It rises faster than it falls.
-func Smooth(latency, sample time.Duration) time.Duration {
+// Smooth adds a sample to a smoothed latency of the given age. It rises faster
+// than it falls.
+func Smooth(latency, age, sample time.Duration) time.Duration {
 	if latency == 0 {
 		return sample
 	}
+	latency = decayed(latency, age)
 	weight := fallWeight
 	if sample > latency {
 		weight = riseWeight
@@ -68,6 +72,10 @@
 	return latency + time.Duration(weight*float64(sample-latency))
 }
 
+func decayed(latency, age time.Duration) time.Duration {
+	return time.Duration(float64(latency) * decay(age, latencyHalfLife))
+}
+
 // decay returns the factor by which a value of the given age is believed.
 func decay(age, halfLife time.Duration) float64 {
 	if age <= 0 {
@@ -76,10 +84,11 @@
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
 
-// cost estimates how long a request would take at the server.
+// cost estimates how long a request would take at the server. Every recent
+// failure doubles it, since a server that fails quickly looks fast.
 func (s Statistics) cost(now time.Duration) time.Duration {
-	latency := float64(s.Latency) * decay(now-s.LatencyAt, latencyHalfLife)
-	return time.Duration(max(latency, float64(latencyFloor)) * (1 + s.waiting(now)/float64(max(s.Slots, 1))))
+	latency := max(decayed(s.Latency, now-s.LatencyAt), latencyFloor) << min(s.Health.Failures, maxDoublings)
+	return time.Duration(float64(latency) * (1 + s.waiting(now)/float64(max(s.Slots, 1))))
 }
 
 // waiting estimates the requests at the server, those of others included.
--- a/internal/decision/retry/retry.go
+++ b/internal/decision/retry/retry.go
@@ -127,7 +127,7 @@
 // mayMove reports whether another server may run the request.
 func mayMove(q Request, r Result) bool {
 	switch r.Reason {
-	case model.ReasonQuarantined, model.ReasonTooLarge, model.ReasonLate, model.ReasonDuplicate, model.ReasonDeadline:
+	case model.ReasonQuarantined, model.ReasonTooLarge, model.ReasonDuplicate, model.ReasonDeadline:
 		return false
 	}
 	// A refusal of the owner of a key says nothing about earlier sends of the
--- /dev/null
+++ b/internal/decision/retry/retry_test.go
@@ -0,0 +1,114 @@
+package retry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"github.com/galenalever/galenalever/internal/decision/retry"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+var actions = map[retry.Action]string{
+	retry.Finish: "finish", retry.SendElsewhere: "elsewhere", retry.SendAgain: "again", retry.AskSameGate: "ask",
+}
+
+// TestDecide runs testdata/decide. Each line of a decision is an outcome and a
+// reason; the arguments set the request and its progress.
+func TestDecide(t *testing.T) {
+	datadriven.RunTest(t, "testdata/decide", func(t *testing.T, d *datadriven.TestData) string {
+		q := retry.Request{Idempotent: d.HasArg("idempotent"), Keyed: d.HasArg("keyed"), Attempts: 3}
+		p := retry.Progress{
+			Attempts: 1, TimeLeft: time.Second, Replayable: !d.HasArg("streamed"),
+			GateKnown: !d.HasArg("gate-unknown"), Alone: d.HasArg("alone"),
+		}
+		d.MaybeScanArgs(t, "attempts", &p.Attempts)
+		d.MaybeScanArgs(t, "questions", &p.Questions)
+		retryAfter, left := 0, 1000
+		d.MaybeScanArgs(t, "retry-after", &retryAfter)
+		d.MaybeScanArgs(t, "left", &left)
+		p.TimeLeft = time.Duration(left) * time.Millisecond
+		var b strings.Builder
+		for line := range strings.Lines(d.Input) {
+			outcome, reason, _ := strings.Cut(strings.TrimSpace(line), " ")
+			r := retry.Result{
+				Outcome: model.ParseOutcome(outcome), Reason: model.Reason(reason),
+				RetryAfter: time.Duration(retryAfter) * time.Millisecond,
+			}
+			decision := retry.Decide(q, p, r, rand.NewPCG(1, 2))
+			fmt.Fprintf(&b, "%s: %s", strings.TrimSpace(line), actions[decision.Action])
+			if decision.Delay > 0 {
+				fmt.Fprintf(&b, " after %s", decision.Delay.Round(100*time.Microsecond))
+			}
+			b.WriteString("\n")
+		}
+		return b.String()
+	})
+}
+
+// TestNeverRunsTwice checks for any request that is not idempotent and any
+// result: after an outcome that is not "not run" it is sent to no other server,
+// and no refusal makes an open outcome closed.
+func TestNeverRunsTwice(t *testing.T) {
+	reasons := []model.Reason{
+		model.ReasonLeaving, model.ReasonQueueFull, model.ReasonUnreachable, model.ReasonConnectionLost,
+		model.ReasonDeadline, model.ReasonCrashed, model.ReasonWrongIncarnation, model.ReasonDuplicate,
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		q := retry.Request{Attempts: rapid.IntRange(1, 9).Draw(t, "limit"), Keyed: rapid.Bool().Draw(t, "keyed")}
+		p := retry.Progress{TimeLeft: time.Hour, Replayable: true, GateKnown: true, Alone: rapid.Bool().Draw(t, "alone")}
+		open := false
+		random := rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)
+		for range rapid.IntRange(1, 12).Draw(t, "length") {
+			p.Attempts++
+			r := retry.Result{
+				Outcome: rapid.SampledFrom([]model.Outcome{model.OutcomeUnknown, model.OutcomeNotRun}).Draw(t, "outcome"),
+				Reason:  rapid.SampledFrom(reasons).Draw(t, "reason"),
+			}
+			open = open || r.Outcome == model.OutcomeUnknown
+			decision := retry.Decide(q, p, r, random)
+			if open && (decision.Action == retry.SendElsewhere || decision.Action == retry.SendAgain) {
+				t.Fatalf("%+v after %+v", decision, r)
+			}
+			if open && retry.Settle(p, r).Outcome == model.OutcomeNotRun {
+				t.Fatalf("settled as not run after %+v", r)
+			}
+			if decision.Action == retry.Finish {
+				return
+			}
+			if decision.Action == retry.AskSameGate {
+				p.Questions++
+			}
+		}
+	})
+}
+
+// TestBudget checks that retries stay a share of the requests.
+func TestBudget(t *testing.T) {
+	const requests, percent, initial = 1000, 20, 10
+	b := retry.NewBudget(initial)
+	granted := 0
+	for range requests {
+		b.Deposit(percent, 0)
+		if b.Withdraw() {
+			granted++
+		}
+	}
+	if want := requests*percent/100 + initial; granted != want {
+		t.Errorf("granted %d retries of %d requests, want %d", granted, requests, want)
+	}
+	for granted = 0; b.Withdraw(); granted++ {
+	}
+	if granted != 0 {
+		t.Errorf("%d tokens left", granted)
+	}
+	b.Deposit(percent, time.Minute)
+	if !b.Withdraw() || b.Withdraw() {
+		t.Error("a rarely used route gains one token after a pause")
+	}
+}
--- a/internal/decision/route/table.go
+++ b/internal/decision/route/table.go
@@ -16,31 +16,68 @@
 // immutable; a new table shares everything that did not change with the one
 // that it was made from.
 type Table struct {
-	index        *index
+	index *index
+	// routes are the indexed routes; the service of each has a destination.
+	routes       []*model.Route
 	position     map[model.ServiceName]int
 	destinations []*Destination
 	generation   uint64
 }
 
 // Empty returns a table without routes.
-func Empty() *Table { return &Table{index: newIndex(nil, nil)} }
+func Empty() *Table { return &Table{index: &index{}} }
 
-// WithTree returns a table for another settings tree.
+// WithTree returns a table for another settings tree. It asks for the members
+// of new services only; WithMembers keeps those of the others current.
 func (t *Table) WithTree(tree *model.Tree, members MembersOf) *Table {
-	next := &Table{
-		position:     make(map[model.ServiceName]int, len(tree.Services)),
-		destinations: make([]*Destination, 0, len(tree.Services)),
-		generation:   t.generation + 1,
+	next := &Table{generation: t.generation + 1, position: t.position}
+	if !t.hasServices(tree) {
+		next.position = make(map[model.ServiceName]int, len(tree.Services))
+		for name := range tree.Services {
+			next.position[name] = len(next.position)
+		}
 	}
-	for name, service := range tree.Services {
-		next.position[name] = len(next.destinations)
-		d := newDestination(service, members(name), t.Destination(name), next.generation)
-		next.destinations = append(next.destinations, d)
+	next.destinations = make([]*Destination, len(next.position))
+	for name, i := range next.position {
+		next.destinations[i] = t.withService(tree.Services[name], members)
 	}
-	next.index = newIndex(tree.Routes, next.position)
+	next.routes = closedRoutes(tree)
+	next.index = t.index.replace(t.routes, next.routes)
 	return next
 }
 
+// hasServices reports whether the table has exactly the services of the tree.
+func (t *Table) hasServices(tree *model.Tree) bool {
+	for name := range tree.Services {
+		if _, ok := t.position[name]; !ok {
+			return false
+		}
+	}
+	return len(t.position) == len(tree.Services)
+}
+
+// withService returns the destination of a service in the next table.
+func (t *Table) withService(service *model.Service, members MembersOf) *Destination {
+	old := t.Destination(service.Name)
+	switch {
+	case old == nil:
+		return newDestination(service, members(service.Name), nil, t.generation+1)
+	case old.Service == service || *old.Service == *service:
+		return old
+	default:
+		return &Destination{Service: service, Endpoints: old.Endpoints, Generation: t.generation + 1}
+	}
+}
+
+// closedRoutes returns the routes of the tree whose service is declared.
+func closedRoutes(tree *model.Tree) []*model.Route {
+	dangling := func(r *model.Route) bool { return tree.Services[r.Service] == nil }
+	if !slices.ContainsFunc(tree.Routes, dangling) {
+		return tree.Routes
+	}
+	return slices.DeleteFunc(slices.Clone(tree.Routes), dangling)
+}
+
 // WithMembers returns a table in which the service has the given members. It
 // returns t itself if no endpoint changes.
 func (t *Table) WithMembers(name model.ServiceName, members []model.Member) *Table {
@@ -92,13 +129,13 @@
 // routes of the exact host go before those for any host; among them the
 // longest path prefix wins, whatever its methods.
 func (t *Table) Lookup(host, path, method string) Match {
-	entries := t.index.lookup(host, path)
-	for _, e := range entries {
-		if e.allows(method) {
-			return Match{Result: Matched, Route: e.route, Destination: t.destinations[e.destination]}
+	routes := t.index.lookup(host, path)
+	for _, r := range routes {
+		if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
+			return Match{Result: Matched, Route: r, Destination: t.Destination(r.Service)}
 		}
 	}
-	if len(entries) > 0 {
+	if len(routes) > 0 {
 		return Match{Result: MethodNotAllowed}
 	}
 	return Match{Result: NoRoute}
@@ -108,8 +145,8 @@
 // to a request with another method.
 func (t *Table) Methods(host, path string) []string {
 	var methods []string
-	for _, e := range t.index.lookup(host, path) {
-		methods = append(methods, e.route.Methods...)
+	for _, r := range t.index.lookup(host, path) {
+		methods = append(methods, r.Methods...)
 	}
 	slices.Sort(methods)
 	return slices.Compact(methods)
--- a/internal/service/balancer/server.go
+++ b/internal/service/balancer/server.go
@@ -108,7 +108,8 @@
 	answered := r.Reported && r.Outcome == model.OutcomeAnswered
 	for {
 		old := c.latency.Load()
-		next := int64(balance.Smooth(time.Duration(old), r.Latency))
+		age := now - time.Duration(c.latencyAt.Load())
+		next := int64(balance.Smooth(time.Duration(old), age, r.Latency))
 		if r.Latency <= 0 || !answered && next <= old || r.Outcome == model.OutcomeNotRun {
 			return
 		}
