--- a/internal/service/ingress/fakes_test.go
+++ b/internal/service/ingress/fakes_test.go
@@ -64,10 +64,11 @@
 
 func (f *fakeWatchdog) Fresh() bool { return !f.stale.Load() }
 
-// observedBalancer tells when the outcome of an attempt was reported.
+// observedBalancer tells when the outcomes of attempts were reported.
 type observedBalancer struct {
 	*balancer.Service
-	reports chan struct{}
+	reports     chan struct{}
+	outstanding sync.WaitGroup
 }
 
 func newObservedBalancer(s *balancer.Service) *observedBalancer {
@@ -75,8 +76,31 @@
 	return &observedBalancer{Service: s, reports: make(chan struct{}, enough)}
 }
 
+func (b *observedBalancer) Pick(d *route.Destination, class model.Class, tried []*route.Endpoint) *route.Endpoint {
+	return b.picked(b.Service.Pick(d, class, tried))
+}
+
+func (b *observedBalancer) PickOwner(
+	d *route.Destination, class model.Class, key string, tried []*route.Endpoint,
+) *route.Endpoint {
+	return b.picked(b.Service.PickOwner(d, class, key, tried))
+}
+
+func (b *observedBalancer) picked(e *route.Endpoint) *route.Endpoint {
+	if e != nil {
+		b.outstanding.Add(1)
+	}
+	return e
+}
+
+func (b *observedBalancer) Begin(e *route.Endpoint, class model.Class) {
+	b.outstanding.Add(1)
+	b.Service.Begin(e, class)
+}
+
 func (b *observedBalancer) Done(e *route.Endpoint, class model.Class, r balance.Report) {
 	b.Service.Done(e, class, r)
+	b.outstanding.Done()
 	select {
 	case b.reports <- struct{}{}:
 	default: // nobody waits for so many reports
--- a/internal/service/ingress/scenario_test.go
+++ b/internal/service/ingress/scenario_test.go
@@ -44,9 +44,9 @@
 		"start":    func(m *mesh, _ *datadriven.TestData) string { m.start(); return "" },
 		"publish":  func(m *mesh, _ *datadriven.TestData) string { m.publish(); return "" },
 		"script":   (*mesh).cmdScript,
-		"call":     func(m *mesh, d *datadriven.TestData) string { return m.do(m.newRequest(context.Background(), d)) },
+		"call":     func(m *mesh, d *datadriven.TestData) string { return m.call(d) },
 		"begin":    (*mesh).cmdBegin,
-		"finish":   func(m *mesh, d *datadriven.TestData) string { return <-m.calls[text(m, d, "id", "")] },
+		"finish":   func(m *mesh, d *datadriven.TestData) string { return m.finish(text(m, d, "id", "")) },
 		"cancel":   func(m *mesh, d *datadriven.TestData) string { m.cancels[text(m, d, "id", "")](); return "" },
 		"stopped":  func(m *mesh, _ *datadriven.TestData) string { return fmt.Sprint(<-m.stopped) },
 		"held":     func(m *mesh, _ *datadriven.TestData) string { return <-m.script.held },
@@ -186,7 +186,7 @@
 	d.Input = ""
 	for range number(m, d, "times", 1) {
 		m.script.set([]string{line})
-		last = m.do(m.newRequest(context.Background(), d))
+		last = m.call(d)
 	}
 	return last
 }
@@ -230,6 +230,26 @@
 	return ""
 }
 
+// call makes a call and waits until no attempt is outstanding, so that the next
+// choice of a server does not depend on the order of events.
+func (m *mesh) call(d *datadriven.TestData) string {
+	defer m.settle()
+	return m.do(m.newRequest(context.Background(), d))
+}
+
+// finish returns what the caller of a call in the background saw.
+func (m *mesh) finish(id string) string {
+	defer m.settle()
+	defer delete(m.calls, id)
+	return <-m.calls[id]
+}
+
+func (m *mesh) settle() {
+	if len(m.calls) == 0 {
+		m.observed.outstanding.Wait()
+	}
+}
+
 // newRequest builds a caller's request.
 func (m *mesh) newRequest(ctx context.Context, d *datadriven.TestData) *http.Request {
 	size := number(m, d, "body", 0)
