--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -37,7 +37,8 @@
 	Deadline time.Time
 }
 
-// Keyed reports whether only the owner of the request's key may run it.
+// Keyed reports whether the request goes to the server that owns its key, if it
+// can.
 func (r *Request) Keyed() bool { return !r.Route.Idempotent && r.IdempotencyKey != "" }
 
 // Answer is the result of a forwarded request.
--- a/internal/decision/balance/health.go
+++ b/internal/decision/balance/health.go
@@ -14,7 +14,8 @@
 	Ejections int
 	// EjectedUntil is the end of the current ejection.
 	EjectedUntil time.Duration
-	// Left is true once the server said that it is leaving or was replaced. It
+	// Left is true once the server said that it is leaving, or that another
+	// process or service has taken its place. It
 	// takes no requests until EjectedUntil, whatever the state of the others.
 	Left bool
 }
@@ -89,7 +90,7 @@
 			return verdictFailure
 		}
 		return verdictNone
-	case model.ReasonLeaving, model.ReasonWrongIncarnation:
+	case model.ReasonLeaving, model.ReasonWrongIncarnation, model.ReasonNoServer:
 		return verdictLeft
 	default:
 		return verdictNone
--- a/internal/decision/balance/rank.go
+++ b/internal/decision/balance/rank.go
@@ -57,10 +57,10 @@
 }
 
 // Owner returns the position of the server that keeps the memory of an
-// idempotency key, or -1 if excluded tells that no server is left. It depends
+// idempotency key, or None if excluded tells that no server is left. It depends
 // on the instances alone, so every node finds the same owner.
 func Owner(key string, count int, instance func(int) model.InstanceID, excluded func(int) bool) int {
-	owner, best := -1, uint64(0)
+	owner, best := None, uint64(0)
 	for i := range count {
 		if excluded(i) {
 			continue
--- a/internal/decision/retry/retry.go
+++ b/internal/decision/retry/retry.go
@@ -13,9 +13,6 @@
 type Request struct {
 	// Idempotent states that running the request twice does no harm.
 	Idempotent bool
-	// Keyed is true for a request that is not idempotent and carries an
-	// idempotency key. Only the server that owns the key may run it.
-	Keyed bool
 	// Attempts is the largest number of attempts, the first included.
 	Attempts int
 }
@@ -93,7 +90,7 @@
 		return Decision{Action: Finish}
 	case p.Questions > 0 || r.Outcome == model.OutcomeUnknown && !q.Idempotent:
 		return question(p, r, random)
-	case !p.Replayable || p.Attempts >= q.Attempts || !mayMove(q, r):
+	case !p.Replayable || p.Attempts >= q.Attempts || !mayMove(r):
 		return Decision{Action: Finish}
 	case p.Alone:
 		return Decision{Action: SendAgain, Delay: max(r.RetryAfter, backoff(p.Attempts+1, random))}
@@ -124,15 +121,16 @@
 	}
 }
 
-// mayMove reports whether another server may run the request.
-func mayMove(q Request, r Result) bool {
+// mayMove reports whether another server may run the request. That holds for
+// requests with an idempotency key too: gates record a key with each other
+// before they run it, so a server refuses a key that ran elsewhere.
+func mayMove(r Result) bool {
 	switch r.Reason {
 	case model.ReasonQuarantined, model.ReasonTooLarge, model.ReasonDuplicate, model.ReasonDeadline:
 		return false
+	default:
+		return true
 	}
-	// A refusal of the owner of a key says nothing about earlier sends of the
-	// key, except that a leaving server will not run it any more.
-	return !q.Keyed || r.Reason == model.ReasonLeaving
 }
 
 // Settle returns the result that the caller is told. A refusal does not take
--- a/internal/service/balancer/balancer.go
+++ b/internal/service/balancer/balancer.go
@@ -94,19 +94,36 @@
 }
 
 // PickOwner chooses the server that keeps the memory of an idempotency key, as
-// Pick does.
+// Pick does. While the owner is ejected the next in the key's order takes its
+// place.
 func (s *Service) PickOwner(
 	d *route.Destination, class model.Class, key string, tried []*route.Endpoint,
 ) *route.Endpoint {
-	owner := balance.Owner(key, len(d.Endpoints),
+	s.pool(d)
+	now := s.now()
+	owner := ownerOf(d, key, func(e *route.Endpoint) bool { return contains(tried, e) || s.ejected(e, now) })
+	if owner == nil {
+		owner = ownerOf(d, key, func(e *route.Endpoint) bool { return contains(tried, e) })
+	}
+	if owner != nil {
+		s.Begin(owner, class)
+	}
+	return owner
+}
+
+func ownerOf(d *route.Destination, key string, excluded func(*route.Endpoint) bool) *route.Endpoint {
+	i := balance.Owner(key, len(d.Endpoints),
 		func(i int) model.InstanceID { return d.Endpoints[i].ID.Instance },
-		func(i int) bool { return contains(tried, d.Endpoints[i]) })
-	if owner < 0 {
+		func(i int) bool { return excluded(d.Endpoints[i]) })
+	if i == balance.None {
 		return nil
 	}
-	s.pool(d)
-	s.Begin(d.Endpoints[owner], class)
-	return d.Endpoints[owner]
+	return d.Endpoints[i]
+}
+
+func (s *Service) ejected(e *route.Endpoint, now time.Duration) bool {
+	known, ok := s.servers.Load(e)
+	return ok && known.(*server).currentHealth().Ejected(now)
 }
 
 // Begin counts one more attempt at a picked endpoint. It must be followed by
--- a/internal/service/forward/attempt.go
+++ b/internal/service/forward/attempt.go
@@ -29,35 +29,30 @@
 	report   balance.Report
 }
 
-// send makes one attempt. An answered result holds resources until its body is
-// closed.
+// send makes one attempt. An answered result holds a connection until its body
+// is closed.
 func (s *Service) send(ctx context.Context, a attempt) result {
 	begin := s.clock.Now()
-	ctx, cancel := context.WithCancel(ctx)
 	observer := &writeObserver{}
 	request := s.newRequest(ctx, a, observer)
 	response, err := s.transports.forRequest(a.request).RoundTrip(request)
 	elapsed := s.clock.Now().Sub(begin)
 	if err != nil {
-		failed := failure(ctx, a.request.Body, observer.giveUp())
-		cancel()
-		return finished(failed, elapsed)
+		return finished(failure(ctx, a.request.Body, observer.giveUp()), elapsed)
 	}
 	head, ok := hop.DecodeResponse(response.Header)
 	if !ok || head.ID != a.request.ID || !delimited(response) {
 		// Not an answer of this request's gate: the request may have run.
 		observer.giveUp()
-		cancel()
 		_ = response.Body.Close()
 		return finished(retry.Result{Reason: model.ReasonConnectionLost}, elapsed)
 	}
 	r := interpret(response, head, elapsed)
 	if r.Outcome != model.OutcomeAnswered {
 		_ = response.Body.Close()
-		cancel()
 		return r
 	}
-	r.response = newResponse(response, cancel)
+	r.response = newResponse(response)
 	if err := r.response.ReadWhole(wholeLimit); err != nil {
 		failed := failure(ctx, a.request.Body, observer.giveUp())
 		_ = r.response.Body.Close()
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -17,15 +17,13 @@
 	return httptrace.WithClientTrace(ctx, o.trace())
 }
 
-// newResponse hands on the server's answer; cancel runs when its body is
-// closed.
-func newResponse(r *http.Response, cancel context.CancelFunc) *call.Response {
+// newResponse hands on the server's answer.
+func newResponse(r *http.Response) *call.Response {
 	header := endToEnd(r.Header, 0)
 	hop.Strip(header)
 	return &call.Response{
 		Status: r.StatusCode, Header: header, Length: r.ContentLength,
-		Body:    &closingBody{ReadCloser: r.Body, onClose: cancel},
-		Trailer: r.Trailer,
+		Body: r.Body, Trailer: r.Trailer,
 	}
 }
 
--- a/internal/service/forward/series.go
+++ b/internal/service/forward/series.go
@@ -31,9 +31,7 @@
 	run := &series{
 		service: s, request: q,
 		budgets: s.budgets.deposit(q.Route, s.clock.Now().Sub(s.start)),
-		rules: retry.Request{
-			Idempotent: q.Route.Idempotent, Keyed: q.Keyed(), Attempts: max(q.Route.Retry.Attempts, 1),
-		},
+		rules:   retry.Request{Idempotent: q.Route.Idempotent, Attempts: max(q.Route.Retry.Attempts, 1)},
 	}
 	last := result{Result: retry.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonNoServer}}
 	next := retry.Decision{Action: retry.SendElsewhere}
