Notice a silent server before its first answer; bound requests in flight

Cause: a server that was paused (kept its connections and did not answer) got 3 of the next 100 requests, 23 of 1000 and 38 of 10000, each lost until its deadline; the number of requests that callers could start was not bounded. Change: the time without an answer while requests are outstanding counts as latency; ingress refuses more than 4096 requests at a time as not run. Ruled out: a time limit for each attempt, which cannot tell slow work from none.

--- a/internal/decision/balance/statistics.go
+++ b/internal/decision/balance/statistics.go
@@ -28,6 +28,9 @@
 	Slots, Queue int
 	// Outstanding counts this node's own requests at the server.
 	Outstanding int
+	// Silence is the time for which requests have been outstanding without any
+	// answer.
+	Silence time.Duration
 	// Load was reported at LoadAt.
 	Load   Load
 	LoadAt time.Duration
@@ -87,7 +90,8 @@
 // cost estimates how long a request would take at the server. Every recent
 // failure doubles it, since a server that fails quickly looks fast.
 func (s Statistics) cost(now time.Duration) time.Duration {
-	latency := max(decayed(s.Latency, now-s.LatencyAt), latencyFloor) << min(s.Health.Failures, maxDoublings)
+	latency := max(decayed(s.Latency, now-s.LatencyAt), s.Silence, latencyFloor)
+	latency <<= min(s.Health.Failures, maxDoublings)
 	return time.Duration(float64(latency) * (1 + s.waiting(now)/float64(max(s.Slots, 1))))
 }
 
--- a/internal/service/balancer/balancer.go
+++ b/internal/service/balancer/balancer.go
@@ -89,7 +89,7 @@
 		return nil
 	}
 	picked := p.servers[chosen]
-	picked.classes[view.class].outstanding.Add(1)
+	picked.classes[view.class].begin(now)
 	return picked.endpoint
 }
 
@@ -130,7 +130,7 @@
 // one Done.
 func (s *Service) Begin(e *route.Endpoint, class model.Class) {
 	if known, ok := s.servers.Load(e); ok {
-		known.(*server).classes[classIndex(class)].outstanding.Add(1)
+		known.(*server).classes[classIndex(class)].begin(s.now())
 	}
 }
 
--- a/internal/service/balancer/server.go
+++ b/internal/service/balancer/server.go
@@ -43,6 +43,30 @@
 	outstanding atomic.Int64
 	latency     atomic.Int64
 	latencyAt   atomic.Int64
+	// progressAt is the time of the last answer, or of the first request since
+	// there was none outstanding.
+	progressAt atomic.Int64
+}
+
+// begin counts one more attempt.
+func (c *classStatistics) begin(now time.Duration) {
+	if c.outstanding.Add(1) == 1 {
+		c.progressAt.Store(int64(now))
+	}
+}
+
+// end counts one attempt less.
+func (c *classStatistics) end(now time.Duration) {
+	c.progressAt.Store(int64(now))
+	c.outstanding.Add(-1)
+}
+
+// silence returns how long requests have been outstanding without an answer.
+func (c *classStatistics) silence(now time.Duration) time.Duration {
+	if c.outstanding.Load() == 0 {
+		return 0
+	}
+	return now - time.Duration(c.progressAt.Load())
 }
 
 // pool is the servers of a destination in this node's order of preference.
@@ -72,6 +96,7 @@
 		Slots:       v.pool.service.Slots,
 		Queue:       v.pool.service.Queue,
 		Outstanding: int(class.outstanding.Load()),
+		Silence:     class.silence(v.now),
 		Load:        unpackLoad(s.load.Load()),
 		LoadAt:      time.Duration(s.loadAt.Load()),
 		Latency:     time.Duration(class.latency.Load()),
@@ -93,7 +118,7 @@
 func (s *server) done(owner *Service, class int, r balance.Report) {
 	now := owner.now()
 	statistics := &s.classes[class]
-	statistics.outstanding.Add(-1)
+	statistics.end(now)
 	if r.Reported && s.takesReport(owner.config.Policy, now) {
 		s.load.Store(packLoad(r.Load))
 		s.loadAt.Store(int64(now))
--- a/internal/service/ingress/mesh_test.go
+++ b/internal/service/ingress/mesh_test.go
@@ -74,7 +74,7 @@
 }
 
 // start brings the node up with the services and gates declared so far.
-func (m *mesh) start() {
+func (m *mesh) start(maxInFlight int64) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		m.t.Fatal(err)
@@ -86,7 +86,7 @@
 	err = m.kernel.Register(
 		m.timeline, &fakeMetrics{scope: tally.NewTestScope("", nil)}, m.watchdog, m.config, m.membership,
 		routing.New(), m.observed, forward.New(forward.Config{Random: random}),
-		ingress.New(ingress.Config{Self: self, Listener: listener}),
+		ingress.New(ingress.Config{Self: self, Listener: listener, MaxInFlight: maxInFlight}),
 	)
 	if err != nil {
 		m.t.Fatal(err)
--- a/internal/service/ingress/scenario_test.go
+++ b/internal/service/ingress/scenario_test.go
@@ -41,7 +41,7 @@
 		"service":  (*mesh).cmdService,
 		"route":    (*mesh).cmdRoute,
 		"gate":     (*mesh).cmdGate,
-		"start":    func(m *mesh, _ *datadriven.TestData) string { m.start(); return "" },
+		"start":    func(m *mesh, d *datadriven.TestData) string { m.start(int64(number(m, d, "limit", 0))); return "" },
 		"publish":  func(m *mesh, _ *datadriven.TestData) string { m.publish(); return "" },
 		"script":   (*mesh).cmdScript,
 		"call":     func(m *mesh, d *datadriven.TestData) string { return m.call(d) },
--- a/internal/service/ingress/serve.go
+++ b/internal/service/ingress/serve.go
@@ -21,7 +21,8 @@
 	begin := s.clock.Now()
 	id := s.nextID()
 	w.Header().Set(hop.HeaderRequestID, string(id))
-	match, refused := s.admit(r)
+	defer s.inFlight.Add(-1)
+	match, refused := s.admit(r, s.inFlight.Add(1))
 	if refused != nil {
 		s.refuse(w, match, *refused, begin)
 		return
@@ -49,7 +50,10 @@
 }
 
 // admit finds the route of a request, or the reason to refuse it.
-func (s *Service) admit(r *http.Request) (route.Match, *refusal) {
+func (s *Service) admit(r *http.Request, inFlight int64) (route.Match, *refusal) {
+	if inFlight > s.config.MaxInFlight {
+		return route.Match{}, notRun(http.StatusServiceUnavailable, model.ReasonQueueFull)
+	}
 	table := s.table.Load()
 	if table == nil {
 		return route.Match{}, notRun(http.StatusServiceUnavailable, model.ReasonNotReady)
--- a/internal/service/ingress/service.go
+++ b/internal/service/ingress/service.go
@@ -58,8 +58,13 @@
 	Self model.Self
 	// Listener accepts callers' connections. The service closes it.
 	Listener net.Listener
+	// MaxInFlight bounds the requests that are served at a time; 0 means 4096.
+	MaxInFlight int64
 }
 
+// defaultMaxInFlight bounds the memory that requests hold.
+const defaultMaxInFlight = 4096
+
 // Service serves callers.
 type Service struct {
 	config    Config
@@ -73,11 +78,15 @@
 	served    chan error
 	idPrefix  string
 	lastID    atomic.Uint64
+	inFlight  atomic.Int64
 }
 
 // New returns the service.
 func New(config Config) *Service {
 	const base = 36
+	if config.MaxInFlight <= 0 {
+		config.MaxInFlight = defaultMaxInFlight
+	}
 	return &Service{
 		config:   config,
 		idPrefix: string(config.Self.ID) + "-" + strconv.FormatUint(uint64(config.Self.Incarnation), base) + "-",
