Refuse connections to nodes that are not running; count results by reason

The link now closes its listener while no process listens. The report lists results by shape and reason.

go test -race -count=3 ./internal/standin/link ./internal/standin/mesh: ok.

--- a/internal/standin/chaos/chaos.go
+++ b/internal/standin/chaos/chaos.go
@@ -239,7 +239,11 @@
 	for _, result := range load.Results {
 		fmt.Fprintf(r.Out, ", %s %d", result, counts[result])
 	}
+	fmt.Fprintln(r.Out)
+	for _, line := range load.Summary(records) {
+		fmt.Fprintln(r.Out, line)
+	}
 	counters := r.mesh.Platform.Counters()
-	fmt.Fprintf(r.Out, "\n%d status reports checked; platform calls %d, at most %d in one second; violations: %d\n",
+	fmt.Fprintf(r.Out, "%d status reports checked; platform calls %d, at most %d in one second; violations: %d\n",
 		r.observer.Samples(), counters.Calls, counters.HighestPerSecond, violations)
 }
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -37,16 +37,17 @@
 
 // Link is one running relay. It is safe for concurrent use.
 type Link struct {
-	config   Config
+	config  Config
+	address string
+	done    chan struct{}
+	running sync.WaitGroup
+
+	mu       sync.Mutex
 	listener net.Listener
-	done     chan struct{}
-	running  sync.WaitGroup
-
-	mu      sync.Mutex
-	state   State
-	changed chan struct{}
-	random  *rand.Rand
-	pairs   map[*pair]struct{}
+	state    State
+	changed  chan struct{}
+	random   *rand.Rand
+	pairs    map[*pair]struct{}
 }
 
 // Start listens and relays.
@@ -61,6 +62,7 @@
 	l := &Link{
 		config:   c,
 		listener: listener,
+		address:  listener.Addr().String(),
 		done:     make(chan struct{}),
 		state:    c.State,
 		changed:  make(chan struct{}),
@@ -68,12 +70,49 @@
 		pairs:    make(map[*pair]struct{}),
 	}
 	l.running.Add(1)
-	go l.accept()
+	go l.accept(listener)
 	return l, nil
 }
 
 // Address returns the host:port on which the link listens.
-func (l *Link) Address() string { return l.listener.Addr().String() }
+func (l *Link) Address() string { return l.address }
+
+// Refuse makes the link refuse new connections, as a host does on which no
+// process listens. Open connections stay.
+func (l *Link) Refuse() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.listener.Close() // it may be closed already
+}
+
+// The attempts to listen again on the address that the link had before.
+const (
+	listenAttempts   = 50
+	listenRetryDelay = 20 * time.Millisecond
+)
+
+// Resume ends Refuse.
+func (l *Link) Resume() error {
+	var listener net.Listener
+	var err error
+	for range listenAttempts {
+		if listener, err = net.Listen("tcp", l.address); err == nil {
+			break
+		}
+		if !l.waitUntil(time.Now().Add(listenRetryDelay)) {
+			return eris.New("the link is closed")
+		}
+	}
+	if err != nil {
+		return eris.Wrap(err, "link stand-in")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listener = listener
+	l.running.Add(1)
+	go l.accept(listener)
+	return nil
+}
 
 // State returns the present behaviour.
 func (l *Link) State() State {
@@ -99,22 +138,21 @@
 }
 
 // Close ends the relay and its connections.
-func (l *Link) Close() error {
+func (l *Link) Close() {
 	close(l.done)
-	err := l.listener.Close()
 	l.mu.Lock()
+	_ = l.listener.Close() // it may refuse connections, and be closed already
 	for p := range l.pairs {
 		p.close()
 	}
 	l.mu.Unlock()
 	l.running.Wait()
-	return err
 }
 
-func (l *Link) accept() {
+func (l *Link) accept(listener net.Listener) {
 	defer l.running.Done()
 	for {
-		client, err := l.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
+	t.Cleanup(l.Close)
 	c, err := net.Dial("tcp", l.Address())
 	if err != nil {
 		t.Fatal(err)
@@ -91,3 +91,26 @@
 		}
 	}
 }
+
+func TestRefusedConnections(t *testing.T) {
+	l, open := startLink(t, link.State{})
+	l.Refuse()
+	if c, err := net.Dial("tcp", l.Address()); err == nil {
+		c.Close()
+		t.Error("a link that refuses connections took one")
+	}
+	if got := echo(t, open, []byte("x")); string(got) != "x" {
+		t.Errorf("the open connection answered %q, want x", got)
+	}
+	if err := l.Resume(); err != nil {
+		t.Fatal(err)
+	}
+	again, err := net.Dial("tcp", l.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	if got := echo(t, again, []byte("y")); string(got) != "y" {
+		t.Errorf("the new connection answered %q, want y", got)
+	}
+}
--- a/internal/standin/load/record.go
+++ b/internal/standin/load/record.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -118,3 +120,24 @@
 	}
 	return counts
 }
+
+// Summary returns one line for each shape, result and detail of the last sends
+// that were not answered, with the number of requests, sorted.
+func Summary(records []Record) []string {
+	counts := make(map[string]int)
+	for _, r := range records {
+		if last := r.Last(); last.Result != ResultAnswered {
+			counts[fmt.Sprintf("%s %s: %s", r.Shape.Name, last.Result, withoutAddresses(last.Detail))]++
+		}
+	}
+	lines := make([]string, 0, len(counts))
+	for _, line := range slices.Sorted(maps.Keys(counts)) {
+		lines = append(lines, fmt.Sprintf("%4d  %s", counts[line], line))
+	}
+	return lines
+}
+
+// address matches a host:port or an URL, which differ between equal errors.
+var address = regexp.MustCompile(`"?(https?://[^"]*"|\d+\.\d+\.\d+\.\d+:\d+)`)
+
+func withoutAddresses(detail string) string { return address.ReplaceAllString(detail, "ADDRESS") }
--- a/internal/standin/mesh/node.go
+++ b/internal/standin/mesh/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"syscall"
@@ -29,6 +30,8 @@
 	process   *process
 	addresses Addresses
 	paused    bool
+	// refusing is true while the links refuse connections.
+	refusing bool
 }
 
 // Start runs the node's process and lists the instance on the platform.
@@ -39,6 +42,10 @@
 	}
 	n.Traffic.SetTarget(addresses.Traffic)
 	n.Control.SetTarget(addresses.Control)
+	if err := n.resumeLinks(); err != nil {
+		p.kill()
+		return err
+	}
 	n.mu.Lock()
 	n.process, n.addresses, n.paused = p, addresses, false
 	n.mu.Unlock()
@@ -112,9 +119,29 @@
 	n.mesh.disturb(n.Addresses().Callers)
 	if p := n.detach(); p != nil {
 		p.kill()
+		n.refuseLinks()
 	}
 }
 
+// refuseLinks makes the links refuse connections while no process listens.
+func (n *Node) refuseLinks() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refusing = true
+	n.Traffic.Refuse()
+	n.Control.Refuse()
+}
+
+func (n *Node) resumeLinks() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.refusing {
+		return nil
+	}
+	n.refusing = false
+	return errors.Join(n.Traffic.Resume(), n.Control.Resume())
+}
+
 // Terminate drains and ends the process; the platform lists the instance as
 // leaving.
 func (n *Node) Terminate(limit time.Duration) error {
@@ -123,7 +150,9 @@
 		return nil
 	}
 	n.mesh.Platform.PutInstance(n.listing(platform.StateLeaving))
-	return p.terminate(limit)
+	err := p.terminate(limit)
+	n.refuseLinks()
+	return err
 }
 
 // Pause stops the process without its knowledge.
@@ -158,9 +187,8 @@
 	if p != nil {
 		err = p.terminate(limit)
 	}
-	for _, l := range []*link.Link{n.Traffic, n.Control} {
-		_ = l.Close() // nothing uses the links any more
-	}
+	n.Traffic.Close()
+	n.Control.Close()
 	_ = n.Backend.Close() // nothing calls the server any more
 	return err
 }
