--- a/internal/bench/mesh.go
+++ b/internal/bench/mesh.go
@@ -97,6 +97,8 @@
 		Arguments:  s.arguments,
 		Latency:    s.latency,
 		Seed:       o.Seed,
+		// The relay's own time must not count.
+		DirectTraffic: true,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -31,7 +31,7 @@
 	seed := uint64(self.Incarnation) ^ hash(string(self.ID))
 	events := timeline.New(timeline.Config{Instance: self.ID, Clock: clock.System{}})
 	return []kernel.Service{
-		operator.New(operator.Config{Listener: l.operator, Self: self}),
+		operator.New(operator.Config{Listener: l.operator, Self: self, Profiling: d.Profiling}),
 		events,
 		metrics.New(metrics.Config{Tags: map[string]string{"service": string(self.Service), "domain": string(self.Domain)}}),
 		watchdog.New(),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,8 @@
 	Balancer  string `help:"Choice of a server: adaptive, or a baseline for experiments, random or reported." env:"GALENA_BALANCER" enum:"adaptive,random,reported" default:"adaptive"`
 	Admission string `help:"Admission at the gate: bounded, or a baseline for experiments, unbounded." env:"GALENA_ADMISSION" enum:"bounded,unbounded" default:"bounded"`
 
+	Profiling bool `help:"Serve the pages of net/http/pprof on the operator port." env:"GALENA_PROFILING"`
+
 	LogFormat string `help:"Log format: text or json." env:"GALENA_LOG_FORMAT" enum:"text,json" default:"text"`
 	LogLevel  string `help:"Lowest level logged: debug, info, warn or error." env:"GALENA_LOG_LEVEL" enum:"debug,info,warn,error" default:"info"`
 }
--- a/internal/standin/mesh/mesh.go
+++ b/internal/standin/mesh/mesh.go
@@ -30,6 +30,8 @@
 	Latency time.Duration
 	// RestartTime is how long a crashed server is away.
 	RestartTime time.Duration
+	// DirectTraffic lets requests between nodes pass without a link.
+	DirectTraffic bool
 	// Seed selects the jitter of the links.
 	Seed uint64
 }
--- a/internal/standin/mesh/node.go
+++ b/internal/standin/mesh/node.go
@@ -54,10 +54,12 @@
 		"--domain", n.Domain,
 		"--backend", n.Backend.URL(),
 		"--platform", n.mesh.PlatformURL(),
-		"--advertise-traffic", n.Traffic.Address(),
 		"--advertise-control", n.Control.Address(),
 		"--log-format", "json",
 	}
+	if !n.mesh.config.DirectTraffic {
+		args = append(args, "--advertise-traffic", n.Traffic.Address())
+	}
 	if peers := n.mesh.peersOf(n); len(peers) > 0 {
 		args = append(args, "--peer", strings.Join(peers, ","))
 	}
@@ -69,13 +71,21 @@
 		ID:       n.ID,
 		Service:  n.Service,
 		Domain:   n.Domain,
-		Traffic:  n.Traffic.Address(),
+		Traffic:  n.trafficAddress(),
 		Control:  n.Control.Address(),
 		Operator: n.Addresses().Operator,
 		State:    state,
 	}
 }
 
+// trafficAddress returns where other nodes send requests.
+func (n *Node) trafficAddress() string {
+	if n.mesh.config.DirectTraffic {
+		return n.Addresses().Traffic
+	}
+	return n.Traffic.Address()
+}
+
 // Addresses returns the listeners of the present process.
 func (n *Node) Addresses() Addresses {
 	n.mu.Lock()
