--- a/internal/decision/balance/health.go
+++ b/internal/decision/balance/health.go
@@ -82,14 +82,13 @@
 		return verdictSuccess
 	}
 	switch r.Reason {
-	case model.ReasonUnreachable, model.ReasonBackendDown, model.ReasonConnectionLost,
-		model.ReasonCrashed, model.ReasonStale, model.ReasonNotReady:
+	case model.ReasonBackendDown, model.ReasonCrashed, model.ReasonStale, model.ReasonNotReady:
 		return verdictFailure
-	case model.ReasonDeadline:
-		if !r.Reported {
-			return verdictFailure
+	case model.ReasonUnreachable, model.ReasonConnectionLost, model.ReasonDeadline:
+		if r.Reported {
+			return verdictNone // the gate is well and speaks of others
 		}
-		return verdictNone
+		return verdictFailure
 	case model.ReasonLeaving, model.ReasonWrongIncarnation, model.ReasonNoServer:
 		return verdictLeft
 	default:
--- a/internal/service/balancer/balancer.go
+++ b/internal/service/balancer/balancer.go
@@ -186,6 +186,10 @@
 	}
 }
 
+// learningPeriod is the time after the start of the node in which the members
+// become known; those that appear in it are not new.
+const learningPeriod = 5 * time.Second
+
 // poolKind tells why a pool is built.
 type poolKind uint8
 
@@ -221,7 +225,7 @@
 	}
 	fresh := &server{endpoint: e, local: local}
 	fresh.warmSince.Store(int64(-d.Service.SlowStart))
-	if kind == poolOfChangedService {
+	if kind == poolOfChangedService && s.now() > learningPeriod {
 		fresh.warmSince.Store(int64(s.now()))
 	}
 	if kind != poolOfOldTable {
--- a/internal/service/ingress/fakes_test.go
+++ b/internal/service/ingress/fakes_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,12 @@
 	f.events = append(f.events, string(kind)+" "+detail)
 }
 
+func (f *fakeTimeline) String() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return strings.Join(f.events, "\n")
+}
+
 type fakeMetrics struct{ scope tally.TestScope }
 
 func (*fakeMetrics) Name() string { return control.Metrics }
--- a/internal/service/ingress/gate_test.go
+++ b/internal/service/ingress/gate_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -160,9 +161,16 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// largeAnswer is half the size in bytes of an answer that is streamed.
+const largeAnswer = 100_000
+
 func (g *fakeGate) answer(w http.ResponseWriter, r *http.Request, q hop.Request, verb, argument string) {
 	response := hop.Response{ID: q.ID, Outcome: model.OutcomeAnswered, Incarnation: g.incarnation}
-	const text = "answer of "
+	text := "answer of " + g.name
+	if argument == "large" {
+		text = strings.Repeat("x", largeAnswer)
+		w.Header().Set("Content-Length", strconv.Itoa(2*largeAnswer))
+	}
 	switch verb {
 	case "drop": // ran, but the answer is lost
 		panic(http.ErrAbortHandler)
@@ -177,7 +185,7 @@
 	case "cross":
 		response.ID = "another-request"
 	case "plain":
-		_, _ = io.WriteString(w, text+g.name)
+		_, _ = io.WriteString(w, text)
 		return
 	case "undelimited":
 		w.Header().Set("Connection", "close")
@@ -188,9 +196,12 @@
 	if verb == "truncate" && argument == "length" {
 		w.Header().Set("Content-Length", "1000")
 	}
-	_, _ = io.WriteString(w, text+g.name)
+	_, _ = io.WriteString(w, text)
 	if verb == "truncate" {
 		w.(http.Flusher).Flush()
 		panic(http.ErrAbortHandler)
 	}
+	if argument == "large" {
+		_, _ = io.WriteString(w, text)
+	}
 }
--- a/internal/service/ingress/metrics.go
+++ b/internal/service/ingress/metrics.go
@@ -9,15 +9,20 @@
 	"github.com/galenalever/galenalever/internal/model"
 )
 
-// metrics counts requests by route, outcome and reason.
+// metrics counts requests by route, outcome and reason, and attempts by route.
 type metrics struct {
-	scope  tally.Scope
-	series sync.Map // seriesKey -> *series
+	scope    tally.Scope
+	series   sync.Map // seriesKey -> *series
+	attempts sync.Map // routeKey -> tally.Counter
+}
+
+type routeKey struct {
+	team model.TeamName
+	name string
 }
 
 type seriesKey struct {
-	team    model.TeamName
-	route   string
+	routeKey
 	outcome model.Outcome
 	reason  model.Reason
 }
@@ -34,7 +39,7 @@
 func (m *metrics) count(rt *model.Route, outcome model.Outcome, reason model.Reason, took time.Duration) {
 	key := seriesKey{outcome: outcome, reason: reason}
 	if rt != nil {
-		key.team, key.route = rt.Team, rt.Name
+		key.routeKey = routeKey{team: rt.Team, name: rt.Name}
 	}
 	found, ok := m.series.Load(key)
 	if !ok {
@@ -45,9 +50,21 @@
 	s.duration.RecordDuration(took)
 }
 
+// countAttempts adds the attempts of one request. Their ratio to the requests is
+// the load that retries and hedges add.
+func (m *metrics) countAttempts(rt *model.Route, attempts int) {
+	key := routeKey{team: rt.Team, name: rt.Name}
+	found, ok := m.attempts.Load(key)
+	if !ok {
+		scope := m.scope.Tagged(map[string]string{"team": string(rt.Team), "route": rt.Name})
+		found, _ = m.attempts.LoadOrStore(key, scope.Counter("attempts"))
+	}
+	found.(tally.Counter).Inc(int64(attempts))
+}
+
 func (m *metrics) newSeries(key seriesKey) *series {
 	scope := m.scope.Tagged(map[string]string{
-		"team": string(key.team), "route": key.route,
+		"team": string(key.team), "route": key.name,
 		"outcome": key.outcome.String(), "reason": string(key.reason),
 	})
 	return &series{requests: scope.Counter("requests"), duration: scope.Histogram("duration", durationBuckets)}
--- a/internal/service/ingress/serve.go
+++ b/internal/service/ingress/serve.go
@@ -42,6 +42,7 @@
 	}
 	request := newRequest(r, id, match, body, deadline)
 	answer := s.forwarder.Forward(ctx, request)
+	s.metrics.countAttempts(match.Route, answer.Attempts)
 	if answer.Response == nil {
 		s.refuse(w, match, refusalOf(answer, body), begin)
 		return
@@ -61,6 +62,10 @@
 	if s.watchdog != nil && !s.watchdog.Fresh() {
 		return route.Match{}, notRun(http.StatusServiceUnavailable, model.ReasonStale)
 	}
+	if !r.ProtoAtLeast(1, 1) {
+		// The end of an answer of unknown length could not be told from a cut.
+		return route.Match{}, notRun(http.StatusHTTPVersionNotSupported, reasonInvalid)
+	}
 	if isUpgrade(r) {
 		return route.Match{}, notRun(http.StatusNotImplemented, reasonUpgrade)
 	}
--- a/internal/service/ingress/service.go
+++ b/internal/service/ingress/service.go
@@ -31,6 +31,9 @@
 	maxHeaderBytes = 64 << 10
 	// idleTimeout closes unused connections of callers.
 	idleTimeout = 90 * time.Second
+	// refusalTimeout bounds the writing of an answer to a request that is not
+	// forwarded.
+	refusalTimeout = 10 * time.Second
 	// bodyIdleTimeout bounds the time between two pieces of a body.
 	bodyIdleTimeout = 15 * time.Second
 )
@@ -129,6 +132,7 @@
 	s.server = &http.Server{
 		Handler:           router,
 		ReadHeaderTimeout: headerTimeout,
+		WriteTimeout:      refusalTimeout, // forwarded requests set their own
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
