Forward no User-Agent of the node's own; report a request that was never sent

Cause: http.Transport added its own User-Agent to requests without one; a request whose deadline passed before the first attempt was told no-server.

--- a/internal/service/forward/attempt.go
+++ b/internal/service/forward/attempt.go
@@ -69,6 +69,7 @@
 func (s *Service) newRequest(ctx context.Context, a attempt, observer *writeObserver) *http.Request {
 	q := a.request
 	header := endToEnd(q.Header, nodeHeaders)
+	keepUserAgent(header)
 	if !q.Route.Idempotent {
 		hideReplayHeaders(header)
 	}
--- a/internal/service/forward/header.go
+++ b/internal/service/forward/header.go
@@ -30,6 +30,13 @@
 	return out
 }
 
+// keepUserAgent prevents http.Transport from adding a User-Agent of its own.
+func keepUserAgent(h http.Header) {
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = nil
+	}
+}
+
 // The headers by which http.Transport takes a request without a body for one
 // that it may repeat on its own. It looks only at the canonical spelling.
 var replayHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
--- a/internal/service/forward/series.go
+++ b/internal/service/forward/series.go
@@ -33,7 +33,7 @@
 		budgets: s.budgets.deposit(q.Route, s.clock.Now().Sub(s.start)),
 		rules:   retry.Request{Idempotent: q.Route.Idempotent, Attempts: max(q.Route.Retry.Attempts, 1)},
 	}
-	last := result{Result: retry.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonNoServer}}
+	last := notSent(ctx, q)
 	next := retry.Decision{Action: retry.SendElsewhere}
 	for next.Action != retry.Finish && run.wait(ctx, next.Delay) {
 		current, ok := run.act(ctx, next.Action)
@@ -46,6 +46,15 @@
 	return run.answer(last)
 }
 
+// notSent is the result of a request without any attempt: there is no server,
+// or the context has ended already.
+func notSent(ctx context.Context, q *call.Request) result {
+	if ctx.Err() != nil {
+		return result{Result: failure(ctx, q.Body, false)}
+	}
+	return result{Result: retry.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonNoServer}}
+}
+
 // act carries out a decision. It reports false if no server is left.
 func (r *series) act(ctx context.Context, action retry.Action) (result, bool) {
 	if action == retry.AskSameGate {
--- a/internal/service/ingress/caller_test.go
+++ b/internal/service/ingress/caller_test.go
@@ -128,6 +128,7 @@
 	if n := number(m, d, "header-bytes", 0); n > 0 {
 		r.Header.Set("X-Large", strings.Repeat("x", n))
 	}
+	r.Header["User-Agent"] = nil
 	for line := range strings.Lines(d.Input) {
 		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
 		r.Header.Add(name, value)
--- a/internal/service/ingress/gate_test.go
+++ b/internal/service/ingress/gate_test.go
@@ -119,8 +119,8 @@
 	if !ok {
 		g.record("request without the headers of a node")
 	}
-	if r.Header.Get(hop.HeaderOutcome) != "" {
-		g.record("a caller's header of a node")
+	if r.Header.Get(hop.HeaderOutcome) != "" || r.Header.Get("X-Hop") != "" || r.UserAgent() != "" {
+		g.record("a header that must not be forwarded")
 	}
 	verb, argument, _ := strings.Cut(g.script.next(), " ")
 	if q.Incarnation != 0 && q.Incarnation != g.incarnation {
