Show every mechanism of the caller's side failing when it is switched off

Cause: the scenario of the drain passed with Close in place of Shutdown, since it took a closed idle connection for the end of the listener; the one of hedges passed without the cancel of the loser. Change: stop waits for the listener itself; a winner that pauses in the middle of its answer; a suspect may be refused up to eight times until its server is found.

--- a/internal/decision/retry/retry.go
+++ b/internal/decision/retry/retry.go
@@ -90,7 +90,7 @@
 		return Decision{Action: Finish}
 	case p.Questions > 0 || r.Outcome == model.OutcomeUnknown && !q.Idempotent:
 		return question(p, r, random)
-	case !p.Replayable || p.Attempts >= q.Attempts || !mayMove(r):
+	case !p.Replayable || p.Attempts >= limit(q, r) || !mayMove(r):
 		return Decision{Action: Finish}
 	case p.Alone:
 		return Decision{Action: SendAgain, Delay: max(r.RetryAfter, backoff(p.Attempts+1, random))}
@@ -121,6 +121,18 @@
 	}
 }
 
+// suspectAttempts bounds the attempts of a request that gates refuse as suspect.
+const suspectAttempts = 8
+
+// limit returns the largest number of attempts. A suspect may run at one server
+// only, so that it takes more refusals to find it.
+func limit(q Request, r Result) int {
+	if r.Reason == model.ReasonSuspect {
+		return max(q.Attempts, suspectAttempts)
+	}
+	return q.Attempts
+}
+
 // mayMove reports whether another server may run the request. That holds for
 // requests with an idempotency key too: gates record a key with each other
 // before they run it, so a server refuses a key that ran elsewhere.
--- a/internal/service/ingress/caller_test.go
+++ b/internal/service/ingress/caller_test.go
@@ -72,18 +72,13 @@
 	return describe(response)
 }
 
-// cmdStop begins the shutdown of the node and waits until it refuses new
+// cmdStop begins the shutdown of the node and waits until it takes no new
 // connections.
 func (m *mesh) cmdStop(*datadriven.TestData) string {
 	m.stopped = make(chan error, 1)
 	go func() { m.stopped <- m.kernel.Stop(context.Background()) }()
-	for {
-		response, err := http.Get(m.url)
-		if err != nil {
-			return ""
-		}
-		_ = response.Body.Close()
-	}
+	<-m.listener.closed
+	return ""
 }
 
 func (m *mesh) cmdWatchdog(d *datadriven.TestData) string {
--- a/internal/service/ingress/fakes_test.go
+++ b/internal/service/ingress/fakes_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -71,6 +72,19 @@
 
 func (f *fakeWatchdog) Fresh() bool { return !f.stale.Load() }
 
+// observedListener tells when it was closed.
+type observedListener struct {
+	net.Listener
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (l *observedListener) Close() error {
+	err := l.Listener.Close()
+	l.once.Do(func() { close(l.closed) })
+	return err
+}
+
 // observedBalancer tells when the outcomes of attempts were reported.
 type observedBalancer struct {
 	*balancer.Service
--- a/internal/service/ingress/gate_test.go
+++ b/internal/service/ingress/gate_test.go
@@ -201,6 +201,10 @@
 		w.(http.Flusher).Flush()
 		panic(http.ErrAbortHandler)
 	}
+	if verb == "pause" { // in the middle of a large answer
+		g.script.held <- g.name
+		<-g.script.free
+	}
 	if argument == "large" {
 		_, _ = io.WriteString(w, text)
 	}
--- a/internal/service/ingress/mesh_test.go
+++ b/internal/service/ingress/mesh_test.go
@@ -37,6 +37,7 @@
 	gates      map[string]*fakeGate
 	script     *script
 	url        string
+	listener   *observedListener
 	calls      map[string]chan string
 	cancels    map[string]context.CancelFunc
 	stopped    chan error
@@ -79,6 +80,7 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
+	m.listener = &observedListener{Listener: listener, closed: make(chan struct{})}
 	self := model.Self{ID: "caller", Domain: "jkt", Incarnation: 1}
 	random := &lockedRandom{rng: rand.NewPCG(1, 2)}
 	m.observed = newObservedBalancer(balancer.New(balancer.Config{Self: self, Random: random}))
@@ -86,7 +88,7 @@
 	err = m.kernel.Register(
 		m.timeline, &fakeMetrics{scope: tally.NewTestScope("", nil)}, m.watchdog, m.config, m.membership,
 		routing.New(), m.observed, forward.New(forward.Config{Random: random}),
-		ingress.New(ingress.Config{Self: self, Listener: listener, MaxInFlight: maxInFlight}),
+		ingress.New(ingress.Config{Self: self, Listener: m.listener, MaxInFlight: maxInFlight}),
 	)
 	if err != nil {
 		m.t.Fatal(err)
