--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -25,6 +25,7 @@
 	Slow     slowCommand      `cmd:"" help:"Tail latency while some servers are slowed."`
 	Converge convergeCommand  `cmd:"" help:"Convergence time and control bytes of a change."`
 	Latency  latencyCommand   `cmd:"" help:"Latency that two nodes add to a call."`
+	Capacity capacityCommand  `cmd:"" help:"What a node spends for control at a size and rate."`
 }
 
 // Main runs one command and returns the exit code.
--- /dev/null
+++ b/internal/bench/capacity.go
@@ -0,0 +1,308 @@
+package bench
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/standin/mesh"
+	"github.com/galenalever/galenalever/internal/standin/platform"
+	"github.com/galenalever/galenalever/internal/status"
+)
+
+// The target of the users, from which sizes and rates are scaled.
+const (
+	targetServices = 3_400
+	targetNodes    = 21_000
+	targetDomains  = 11
+	// targetChanges and targetEvents are per second: 47,000 changes a day, and
+	// 8,310 instance events a day of two to three states each.
+	targetChanges = 0.54
+	targetEvents  = 0.3
+	// capacityNodes are the real nodes of one failure domain: three readers,
+	// three nodes that serve others and six that serve none.
+	capacityNodes = 12
+	// servicesPerTeam is the size of one document.
+	servicesPerTeam = 10
+	// loadTimeout bounds the first load of the whole state.
+	loadTimeout = 3 * time.Minute
+)
+
+type capacityCommand struct {
+	options
+	Services  int           `help:"Declared services." default:"3400"`
+	Instances int           `help:"Listed instances." default:"21000"`
+	Rate      float64       `help:"Multiple of the target's rate of changes and instance events." default:"1"`
+	Lasts     time.Duration `help:"Time over which usage is measured." default:"60s"`
+}
+
+// Run implements the command.
+func (c *capacityCommand) Run(w io.Writer) error { return c.run(w, c.measure) }
+
+func (c *capacityCommand) measure(ctx context.Context, o options) (Table, error) {
+	table := Table{
+		Title: "What a node spends for control",
+		Setup: fmt.Sprintf("%d services, %d instances, %.2f changes/s and %.2f instance events/s for %s; %d real nodes of one failure domain; seed %d",
+			c.Services, c.Instances, c.Rate*targetChanges, c.Rate*targetEvents, c.Lasts, capacityNodes, o.Seed),
+		Columns: []string{"role", "nodes", "core", "memory", "highest memory", "received", "sent", "loop busy", "loaded after"},
+	}
+	m, err := mesh.New(mesh.Config{
+		Deployment: mesh.Deployment{
+			Domains:  []string{"domain-1"},
+			Services: []mesh.Service{{Name: teamName(0) + "/service-0", Workers: capacityNodes}},
+		},
+		Program: o.program(),
+		Seed:    o.Seed,
+	})
+	if err != nil {
+		return table, err
+	}
+	f := &largeFleet{command: c, mesh: m, client: status.NewClient(status.DefaultTimeout), random: rand.New(rand.NewPCG(o.Seed, o.Seed))}
+	if table.Rows, err = f.measure(ctx); err != nil {
+		return table, closeAfter(m, err)
+	}
+	return table, m.Close(closeLimit)
+}
+
+// largeFleet is a few real nodes that hold the state of a large mesh.
+type largeFleet struct {
+	command  *capacityCommand
+	mesh     *mesh.Mesh
+	client   *status.Client
+	random   *rand.Rand
+	revision uint64
+	// deadlines varies the documents.
+	deadlines int
+}
+
+func teamName(i int) string { return fmt.Sprintf("team-%d", i) }
+
+func (f *largeFleet) teams() int {
+	return (f.command.Services + servicesPerTeam - 1) / servicesPerTeam
+}
+
+func (f *largeFleet) measure(ctx context.Context) ([][]string, error) {
+	if err := f.publishAll(); err != nil {
+		return nil, err
+	}
+	begin := time.Now()
+	if err := f.mesh.Start(ctx); err != nil {
+		return nil, err
+	}
+	if err := f.waitLoaded(ctx); err != nil {
+		return nil, err
+	}
+	loaded := time.Since(begin)
+	before, err := f.observe(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.churn(ctx); err != nil {
+		return nil, err
+	}
+	after, err := f.observe(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return f.rows(before, after, loaded), nil
+}
+
+// publishAll publishes all documents and lists the instances that are not real
+// nodes, in other failure domains.
+func (f *largeFleet) publishAll() error {
+	var root strings.Builder
+	root.WriteString("teams:\n")
+	for i := range f.teams() {
+		fmt.Fprintf(&root, "  %s: {hosts: [%s.example], paths: [/]}\n", teamName(i), teamName(i))
+	}
+	if _, err := f.mesh.Platform.Put("root", []byte(root.String())); err != nil {
+		return err
+	}
+	for i := range f.teams() {
+		if err := f.publish(i); err != nil {
+			return err
+		}
+	}
+	for i := range f.command.Instances - capacityNodes {
+		f.mesh.Platform.PutInstance(f.instance(i, platform.StateLive))
+	}
+	return nil
+}
+
+// publish puts a new version of one team's document.
+func (f *largeFleet) publish(team int) error {
+	f.deadlines++
+	var services, routes strings.Builder
+	for i := range servicesPerTeam {
+		n := team*servicesPerTeam + i
+		fmt.Fprintf(&services, "  service-%d: {slots: 6, long_slots: 2, queue: 32}\n", n)
+		deadline := 1000
+		if i == 0 {
+			deadline += f.deadlines % 1000
+		}
+		fmt.Fprintf(&routes, `  route-%d:
+    hosts: [%s.example]
+    path: /service-%d
+    service: service-%d
+    idempotent: true
+    class: short
+    deadline: %dms
+    retry: {attempts: 3, budget_percent: 20}
+`, n, teamName(team), n, n, deadline)
+	}
+	text := fmt.Sprintf("team: %s\nservices:\n%sroutes:\n%s", teamName(team), services.String(), routes.String())
+	revision, err := f.mesh.Platform.Put("teams/"+teamName(team), []byte(text))
+	f.revision = revision
+	return err
+}
+
+// instance describes one instance that is not a real node.
+func (f *largeFleet) instance(i int, state string) platform.Instance {
+	n := i % f.command.Services
+	address := fmt.Sprintf("127.1.%d.%d", i>>8&0xff, i&0xff)
+	return platform.Instance{
+		ID:       fmt.Sprintf("instance-%05d", i),
+		Service:  fmt.Sprintf("%s/service-%d", teamName(n/servicesPerTeam), n),
+		Domain:   fmt.Sprintf("domain-%d", 2+i%(targetDomains-1)),
+		Traffic:  address + ":7001",
+		Control:  address + ":7002",
+		Operator: address + ":7003",
+		State:    state,
+	}
+}
+
+// waitLoaded waits until every node runs the newest revision and knows all
+// instances.
+func (f *largeFleet) waitLoaded(ctx context.Context) error {
+	limit, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	for _, n := range f.mesh.Nodes {
+		for {
+			report, err := f.client.Report(limit, n.Addresses().Operator)
+			if err == nil && uint64(report.Version.Cut) >= f.revision && report.Members >= f.command.Instances {
+				break
+			}
+			if err := pause(limit, settleInterval); err != nil {
+				return fmt.Errorf("node %s has not loaded: %w", n.ID, err)
+			}
+		}
+	}
+	return nil
+}
+
+// churn publishes changes and instance events at the wanted rates.
+func (f *largeFleet) churn(ctx context.Context) error {
+	phases := []phase{{rate: f.command.Rate * (targetChanges + targetEvents), lasts: f.command.Lasts}}
+	begin := time.Now()
+	for _, a := range schedule(phases, f.command.Seed) {
+		if err := pause(ctx, time.Until(begin.Add(a.at))); err != nil {
+			return err
+		}
+		if err := f.next(); err != nil {
+			return err
+		}
+	}
+	return pause(ctx, time.Until(begin.Add(f.command.Lasts)))
+}
+
+func (f *largeFleet) next() error {
+	if f.random.Float64() < targetChanges/(targetChanges+targetEvents) {
+		return f.publish(f.random.IntN(f.teams()))
+	}
+	states := []string{platform.StateLive, platform.StateLeaving}
+	i := f.random.IntN(f.command.Instances - capacityNodes)
+	f.mesh.Platform.PutInstance(f.instance(i, states[f.random.IntN(len(states))]))
+	return nil
+}
+
+// nodeUsage is what one node has used and what role it plays.
+type nodeUsage struct {
+	usage
+	at             time.Time
+	role           string
+	received, sent uint64
+	busy           time.Duration
+}
+
+func (f *largeFleet) observe(ctx context.Context) ([]nodeUsage, error) {
+	var all []nodeUsage
+	serving := make(map[string]bool)
+	for _, n := range f.mesh.Nodes {
+		report, err := f.client.Report(ctx, n.Addresses().Operator)
+		if err != nil {
+			return nil, err
+		}
+		used, err := processUsage(n.PID())
+		if err != nil {
+			return nil, err
+		}
+		var section struct {
+			Reader   bool   `json:"reader"`
+			Upstream string `json:"upstream"`
+			Received uint64 `json:"received_bytes"`
+			Sent     uint64 `json:"sent_bytes"`
+		}
+		if err := json.Unmarshal(report.Sections["exchange"], &section); err != nil {
+			return nil, err
+		}
+		serving[section.Upstream] = true
+		one := nodeUsage{usage: used, at: time.Now(), received: section.Received, sent: section.Sent, busy: report.Loop.Busy}
+		if section.Reader {
+			one.role = "reader"
+		}
+		all = append(all, one)
+	}
+	for i, n := range f.mesh.Nodes {
+		if all[i].role == "" {
+			all[i].role = followerRole(serving[n.ID])
+		}
+	}
+	return all, nil
+}
+
+func followerRole(serves bool) string {
+	if serves {
+		return "serves others"
+	}
+	return "serves none"
+}
+
+// rows condenses the usage between two observations, the mean of each role.
+func (f *largeFleet) rows(before, after []nodeUsage, loaded time.Duration) [][]string {
+	byRole := make(map[string][]int)
+	for i, u := range after {
+		byRole[u.role] = append(byRole[u.role], i)
+	}
+	var rows [][]string
+	for role, nodes := range byRole {
+		rows = append(rows, roleRow(role, nodes, before, after, loaded))
+	}
+	slices.SortFunc(rows, func(a, b []string) int { return cmp.Compare(a[0], b[0]) })
+	return rows
+}
+
+func roleRow(role string, nodes []int, before, after []nodeUsage, loaded time.Duration) []string {
+	var core, memory, highest, received, sent, busy float64
+	for _, i := range nodes {
+		seconds := after[i].at.Sub(before[i].at).Seconds()
+		core += (after[i].processor - before[i].processor).Seconds() / seconds
+		busy += (after[i].busy - before[i].busy).Seconds() / seconds
+		received += float64(after[i].received-before[i].received) / seconds
+		sent += float64(after[i].sent-before[i].sent) / seconds
+		memory += float64(after[i].resident)
+		highest += float64(after[i].highest)
+	}
+	n := float64(len(nodes))
+	return []string{
+		role, fmt.Sprint(len(nodes)), fmt.Sprintf("%.2f %%", 100*core/n),
+		fmt.Sprintf("%.0f MB", memory/n/1e6), fmt.Sprintf("%.0f MB", highest/n/1e6),
+		fmt.Sprintf("%.0f B/s", received/n), fmt.Sprintf("%.0f B/s", sent/n), fmt.Sprintf("%.3f %%", 100*busy/n),
+		loaded.Round(100 * time.Millisecond).String(),
+	}
+}
--- a/internal/standin/mesh/node.go
+++ b/internal/standin/mesh/node.go
@@ -181,6 +181,16 @@
 	}
 }
 
+// PID returns the ID of the present process, or 0 if there is none.
+func (n *Node) PID() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process == nil {
+		return 0
+	}
+	return n.process.command.Process.Pid
+}
+
 // detach returns the present process, if any, and forgets it.
 func (n *Node) detach() *process {
 	n.mu.Lock()
