Bound the keys of a document

The YAML parser's time grows with the square of the keys of one block mapping: a document of 1 MiB of 'a:' lines took longer than eight minutes, 128 KiB 9.9 s. A reader of the platform would stop for that long. Ruled out: a time limit, as the parser cannot be cancelled.

--- a/internal/document/syntax.go
+++ b/internal/document/syntax.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
@@ -16,6 +17,10 @@
 // line. It protects the recursive parser from hostile documents.
 const maxDepth = 16
 
+// maxKeys bounds the keys of all mappings of a document. The parser's time
+// grows with the square of the keys of one block mapping.
+const maxKeys = 10_000
+
 // parse returns the body of the only YAML document in text.
 func (r *reader) parse(text []byte) (value, bool) {
 	if len(text) > MaxBytes {
@@ -97,28 +102,50 @@
 	token.DirectiveType:  "directives (%)",
 }
 
-// checkTokens reports unsupported features and deep nesting before the parser
-// sees them.
+// tokenLimits follows the size of a document along its tokens.
+type tokenLimits struct {
+	keys  int
+	depth int
+	// markers counts the list markers of the current line.
+	markers, line int
+}
+
+// checkTokens reports unsupported features and documents that would take the
+// parser too long or too deep, before it sees them.
 func (r *reader) checkTokens(tokens token.Tokens) {
-	depth, line, markers := 0, 0, 0
+	var limits tokenLimits
 	for _, t := range tokens {
 		if feature, ok := unsupported[t.Type]; ok {
 			r.list.Addf(r.tokenPlace(t), "%s are not supported; put text that needs the character in quotes", feature)
 		}
-		if t.Position != nil && t.Position.Line != line {
-			line, markers = t.Position.Line, 0
-		}
-		switch t.Type {
-		case token.MappingStartType, token.SequenceStartType:
-			depth++
-		case token.MappingEndType, token.SequenceEndType:
-			depth--
-		case token.SequenceEntryType:
-			markers++
-		}
-		if depth > maxDepth || markers > maxDepth {
-			r.list.Addf(r.tokenPlace(t), "nesting is deeper than %d", maxDepth)
+		if fault := limits.add(t); fault != "" {
+			r.list.Addf(r.tokenPlace(t), "%s", fault)
 			return
 		}
 	}
 }
+
+// add counts a token and returns the limit that it exceeds, if any.
+func (l *tokenLimits) add(t *token.Token) string {
+	if t.Position != nil && t.Position.Line != l.line {
+		l.line, l.markers = t.Position.Line, 0
+	}
+	switch t.Type {
+	case token.MappingStartType, token.SequenceStartType:
+		l.depth++
+	case token.MappingEndType, token.SequenceEndType:
+		l.depth--
+	case token.SequenceEntryType:
+		l.markers++
+	case token.MappingValueType:
+		l.keys++
+	}
+	switch {
+	case l.keys > maxKeys:
+		return fmt.Sprintf("document has more than %d keys", maxKeys)
+	case l.depth > maxDepth || l.markers > maxDepth:
+		return fmt.Sprintf("nesting is deeper than %d", maxDepth)
+	default:
+		return ""
+	}
+}
