--- a/internal/service/gate/call.go
+++ b/internal/service/gate/call.go
@@ -25,8 +25,12 @@
 	// keys and identity are set for requests that are remembered.
 	keys     []dedupe.Key
 	identity uint64
-	// exclusive is true for a suspect that runs alone.
-	exclusive bool
+	// idempotencyKey is the caller's key, or empty; copies are the members that
+	// have recorded it.
+	idempotencyKey string
+	copies         []model.Member
+	// suspicion is the quarantine's decision on the request.
+	suspicion quarantine.Decision
 
 	// The fields below are set and cleared in the gate's critical section.
 	ticket admission.Ticket
@@ -58,6 +62,7 @@
 func (c *call) remember(shape quarantine.Shape, key string) {
 	c.keys = append(c.keys, dedupe.RequestKey(c.ID))
 	if key != "" {
+		c.idempotencyKey = key
 		c.keys = append(c.keys, dedupe.IdempotencyKey(c.Route, key))
 	}
 	shape.IdempotencyKey += "\n" + c.r.Header.Get("Authorization")
@@ -75,6 +80,15 @@
 	return clock.WithTimeout(parent, clk, c.deadline.Sub(clk.Now()))
 }
 
+// exclusive reports whether the request is a suspect that runs alone.
+func (c *call) exclusive() bool { return c.suspicion.Verdict == quarantine.RunAlone }
+
+// identified reports whether requests with this fingerprint cannot differ in
+// their bodies, so that a harmless one speaks for the others.
+func (c *call) identified() bool {
+	return c.r.ContentLength == 0 || c.r.Header.Get(idempotencyHeader) != ""
+}
+
 // refusal is the end of a call that is not answered by the server.
 type refusal struct {
 	outcome    model.Outcome
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -20,6 +20,7 @@
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
+	"github.com/galenalever/galenalever/internal/wire"
 )
 
 // Config configures the service.
@@ -29,6 +30,8 @@
 	Listener net.Listener
 	// Timestamps marks the answers for the time line; nil leaves them unmarked.
 	Timestamps *timeline.Clock
+	// KeepLate is admission.Limits.KeepLate, for experiments.
+	KeepLate bool
 }
 
 // Service implements the kernel's service "gate". It is an http.Handler, so that
@@ -37,13 +40,17 @@
 	self       model.Self
 	listener   net.Listener
 	timestamps *timeline.Clock
+	keepLate   bool
 	partners   partners
+	peers      *peerClient
+	peerServer http.Handler
 	http       *http.Server
 	served     chan struct{}
 	clock      clock.Clock
 	log        *slog.Logger
 	leaving    atomic.Bool
 	counters   *counters
+	overload   atomic.Int64 // time of the last event about overload, in ns
 
 	mu        sync.Mutex
 	tickets   admission.Ticket
@@ -64,6 +71,7 @@
 		self:       c.Self,
 		listener:   c.Listener,
 		timestamps: c.Timestamps,
+		keepLate:   c.KeepLate,
 		served:     make(chan struct{}),
 		admission:  admission.New(admission.Limits{}),
 		memory:     dedupe.New(memoryBounds),
@@ -71,6 +79,8 @@
 		repeats:    make(map[dedupe.Waiter]chan dedupe.Decision),
 		idle:       make(chan struct{}),
 	}
+	s.peers = newPeerClient()
+	s.peerServer = wire.NewGateServer(keeper{gate: s})
 	s.http = newServer(s)
 	return s
 }
@@ -114,6 +124,9 @@
 		return err
 	}
 	s.counters = newCounters(s.partners.metrics.Scope())
+	if s.partners.page != nil {
+		s.partners.page.AddStatus(control.Gate, func() any { return s.Stats() })
+	}
 	kernel.Subscribe(c.Loop, s.handleConfigurationChanged)
 	kernel.Subscribe(c.Loop, s.handlePresenceChanged)
 	s.configure()
@@ -121,7 +134,8 @@
 }
 
 // Start implements kernel.Starter.
-func (s *Service) Start(context.Context) error {
+func (s *Service) Start(ctx context.Context) error {
+	go s.watchServer(ctx)
 	go func() {
 		defer close(s.served)
 		if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
@@ -145,7 +159,7 @@
 	if service == nil {
 		return
 	}
-	limits := admission.Limits{Slots: service.Slots, LongSlots: service.LongSlots, Queue: service.Queue}
+	limits := admission.Limits{Slots: service.Slots, LongSlots: service.LongSlots, Queue: service.Queue, KeepLate: s.keepLate}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.deliver(s.admission.Configure(limits, s.clock.Now()))
--- a/internal/service/gate/partners.go
+++ b/internal/service/gate/partners.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/health"
 	"github.com/galenalever/galenalever/internal/decision/quarantine"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
@@ -22,6 +23,7 @@
 // server is the part of the backend service that the gate uses.
 type server interface {
 	Available() bool
+	State() *kernel.Snapshot[health.State]
 	Do(r *http.Request, notAfter time.Time, idempotent bool) (*http.Response, error)
 	Crashed(ctx context.Context) bool
 }
@@ -31,10 +33,15 @@
 	Prepared() bool
 	Decide(f quarantine.Fingerprint) quarantine.Decision
 	Report(ctx context.Context, fingerprints []quarantine.Fingerprint)
-	RanAlone(f quarantine.Fingerprint)
+	RanAlone(d quarantine.Decision)
 	Suspects() *kernel.Snapshot[quarantine.Table]
 }
 
+// members is the part of the membership service that the gate uses.
+type members interface {
+	ServiceMembers(name model.ServiceName) []model.Member
+}
+
 // watchdog tells whether the process was paused and has not synchronised since.
 type watchdog interface{ Fresh() bool }
 
@@ -46,12 +53,19 @@
 // metrics is the part of the metrics service that the gate uses.
 type metrics interface{ Scope() tally.Scope }
 
+// statusPage is the part of the operator service that the gate uses.
+type statusPage interface {
+	AddStatus(section string, f func() any)
+}
+
 // partners are the services that the gate uses.
 type partners struct {
 	config   configuration
 	server   server
 	suspects suspects
-	watchdog watchdog // nil if the node has none
+	members  members
+	watchdog watchdog   // nil if the node has none
+	page     statusPage // nil if the node has none
 	timeline recorder
 	metrics  metrics
 }
@@ -68,6 +82,9 @@
 	if p.suspects, err = kernel.Find[suspects](c, control.Quarantine); err != nil {
 		return p, err
 	}
+	if p.members, err = kernel.Find[members](c, control.Membership); err != nil {
+		return p, err
+	}
 	if p.timeline, err = kernel.Find[recorder](c, control.Timeline); err != nil {
 		return p, err
 	}
@@ -75,6 +92,7 @@
 		return p, err
 	}
 	p.watchdog, _ = kernel.Find[watchdog](c, control.Watchdog)
+	p.page, _ = kernel.Find[statusPage](c, control.Operator)
 	return p, nil
 }
 
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -17,6 +17,10 @@
 func (s *Service) run(c *call) {
 	ctx, cancel := c.context(s.clock)
 	defer cancel()
+	if r := s.copyKey(ctx, c); r != nil {
+		s.endUncopied(c, r)
+		return
+	}
 	response, err := s.partners.server.Do(outgoing(ctx, c.r), c.deadline, c.Idempotent)
 	if err != nil {
 		s.failed(ctx, c, err)
@@ -52,6 +56,7 @@
 func (s *Service) failed(ctx context.Context, c *call, err error) {
 	var attempt mayHaveRun
 	if errors.As(err, &attempt) && !attempt.MayHaveRun() {
+		s.dropCopies(c)
 		s.endNotRun(c, notRun(s.notRunReason(ctx, c)))
 		return
 	}
@@ -68,24 +73,33 @@
 	return model.ReasonBackendDown
 }
 
+// giveUp remembers a request whose connection the gate closed, in case that it
+// crashes the server or has done so already.
+func (s *Service) giveUp(c *call) {
+	s.abandoned.add(c.fingerprint, s.clock.Now())
+	if !s.partners.server.Available() {
+		s.reportAbandoned(context.WithoutCancel(c.r.Context()))
+	}
+}
+
 // lost finds out why a request that may have run has no whole answer. If its
 // server crashed, the gates of the service know the request as a suspect when
 // lost returns.
 func (s *Service) lost(ctx context.Context, c *call) model.Reason {
+	if ctx.Err() != nil {
+		s.giveUp(c)
+	}
 	s.release(c, false)
-	now := s.clock.Now()
 	switch {
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		s.abandoned.add(c.fingerprint, now)
 		return model.ReasonDeadline
 	case ctx.Err() != nil:
-		s.abandoned.add(c.fingerprint, now)
 		return model.ReasonCancelled
 	}
 	ctx = context.WithoutCancel(ctx)
 	if !s.partners.server.Crashed(ctx) {
 		return model.ReasonConnectionLost
 	}
-	s.partners.suspects.Report(ctx, append(s.abandoned.take(now), c.fingerprint))
+	s.partners.suspects.Report(ctx, append(s.abandoned.take(s.clock.Now()), c.fingerprint))
 	return model.ReasonCrashed
 }
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -17,6 +17,7 @@
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/service/gate"
 )
 
 // waitFor yields to other goroutines until the condition holds. A condition that
@@ -32,7 +33,7 @@
 	t       *testing.T
 	clock   *testClock
 	ledger  *ledger
-	members []model.Member
+	members *memberList
 	nodes   map[string]*node
 	sends   map[string]*send
 	client  *http.Client
@@ -51,7 +52,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := &scenario{
 			t: t, clock: newTestClock(), ledger: &ledger{runs: map[string]int{}},
-			nodes: map[string]*node{}, sends: map[string]*send{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, // never replays
+			members: &memberList{}, nodes: map[string]*node{}, sends: map[string]*send{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, // never replays
 		}
 		t.Cleanup(s.close)
 		datadriven.RunTest(t, path, s.run)
@@ -73,6 +74,8 @@
 	s.t = t
 	var to, id, reason string
 	var after time.Duration
+	var count int
+	d.MaybeScanArgs(t, "count", &count)
 	d.MaybeScanArgs(t, "node", &to)
 	d.MaybeScanArgs(t, "id", &id)
 	d.MaybeScanArgs(t, "reason", &reason)
@@ -86,7 +89,7 @@
 	case "start":
 		for _, arg := range d.CmdArgs {
 			service := &model.Service{Name: serviceName, Slots: 2, LongSlots: 1, Queue: 4}
-			s.nodes[arg.Key] = startNode(arg.Key, s.clock, s.ledger, &s.members, service)
+			s.nodes[arg.Key] = startNode(arg.Key, s.clock, s.ledger, s.members, service)
 		}
 	case "send":
 		s.begin(d, n)
@@ -132,9 +135,24 @@
 	case "stop":
 		go func() { n.stopped <- n.gate.Stop(context.Background()) }()
 	case "stopped":
-		return s.awaitStopped(n)
+		return fmt.Sprintln("error:", <-n.stopped)
+	case "in-flight": // returns when so many requests hold slots
+		waitFor(func() bool { return n.gate.Stats().InFlight == count })
+	case "suspects": // returns when the node knows so many
+		waitFor(func() bool { return len(n.gate.Stats().Suspects) == count })
+	case "cleared": // returns when the node trusts a suspect again
+		waitFor(func() bool {
+			return slices.ContainsFunc(n.gate.Stats().Suspects, func(s gate.Suspect) bool { return s.Cleared })
+		})
 	case "ledger":
 		return s.ledger.String()
+	case "gone": // the other nodes learn that the instance is gone
+		s.members.remove(to)
+	case "lose": // the instance ends without a word: node and server
+		_ = n.server.http.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_ = n.kernel.Stop(ctx)
 	case "stats":
 		st := n.gate.Stats()
 		return fmt.Sprintf("answered=%d replayed=%d refused=%v in-flight=%d queued=%d suspects=%d\n",
@@ -145,19 +163,6 @@
 	return ""
 }
 
-// awaitStopped advances the clock, so that the time of refusing ends.
-func (s *scenario) awaitStopped(n *node) string {
-	for {
-		select {
-		case err := <-n.stopped:
-			return fmt.Sprintln("error:", err)
-		default:
-			s.clock.fake.Advance(time.Second)
-			runtime.Gosched()
-		}
-	}
-}
-
 // storm sends one request many times at once and counts the different answers.
 func (s *scenario) storm(d *datadriven.TestData, n *node) string {
 	var count int
@@ -213,6 +218,12 @@
 	}
 	r.Header.Set("X-Test-Id", out.name)
 	s.sends[id+sent] = out
+	if d.HasArg("unread") {
+		response, err := s.client.Do(r)
+		must(err)
+		s.t.Cleanup(func() { _ = response.Body.Close() })
+		return
+	}
 	go func() { out.result <- s.do(r, id) }()
 }
 
--- a/internal/service/gate/slots.go
+++ b/internal/service/gate/slots.go
@@ -49,7 +49,7 @@
 
 // arrive asks for a slot. The critical section must be held.
 func (s *Service) arrive(c *call) admission.Decision {
-	request := admission.Request{Ticket: c.ticket, Class: c.Class, Deadline: c.deadline, Exclusive: c.exclusive}
+	request := admission.Request{Ticket: c.ticket, Class: c.Class, Deadline: c.deadline, Exclusive: c.exclusive()}
 	d := s.admission.Arrive(request, s.clock.Now())
 	if d.Verdict == admission.Refuse {
 		return d
@@ -170,6 +170,16 @@
 	s.refuse(c, r)
 }
 
+// endUncopied ends a call whose key could not be recorded at its keepers, or that
+// has run elsewhere.
+func (s *Service) endUncopied(c *call, r *refusal) {
+	if r.outcome == model.OutcomeNotRun {
+		s.endNotRun(c, r)
+		return
+	}
+	s.refuse(c, r) // the key stays remembered as one that may have run
+}
+
 // endAnswered ends a call that the server answered whole.
 func (s *Service) endAnswered(c *call, answer *dedupe.Answer) {
 	s.mu.Lock()
