--- a/internal/decision/accept/bench_test.go
+++ b/internal/decision/accept/bench_test.go
@@ -7,7 +7,6 @@
 	"testing"
 
 	"github.com/galenalever/galenalever/internal/decision/accept"
-	"github.com/galenalever/galenalever/internal/decision/replicate"
 	"github.com/galenalever/galenalever/internal/document"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/standin/history"
@@ -36,9 +35,10 @@
 	return b.String()
 }
 
-// BenchmarkOneLeaf accepts a change of one service among 3,400 of 300 teams.
-func BenchmarkOneLeaf(b *testing.B) {
-	var tree history.History
+// benchTree publishes the root and one document for each team. Each team has
+// routes to the services of the next ones, so all need one another.
+func benchTree() *history.History {
+	tree := &history.History{}
 	var root strings.Builder
 	root.WriteString("teams:\n")
 	for team := range benchTeams {
@@ -48,13 +48,16 @@
 	for team := range benchTeams {
 		tree.Publish(model.TeamKey(model.TeamName(fmt.Sprintf("t%d", team))), teamText(team, 6))
 	}
-	known, err := replicate.Advance(model.Cut{}, tree.Cut(tree.Revision()))
-	if err != nil {
-		b.Fatal(err)
-	}
+	return tree
+}
+
+// BenchmarkOneLeaf accepts a change of one service among 3,400 of 300 teams.
+func BenchmarkOneLeaf(b *testing.B) {
+	tree := benchTree()
+	known := tree.Cut(tree.Revision())
 	acceptor := accept.New(document.Decode)
 	if c := acceptor.Accept(known); len(c.Held) > 0 || len(c.Tree.Services) != benchServices {
-		b.Fatalf("%d held, %d services, first %v", len(c.Held), len(c.Tree.Services), c.Held[0])
+		b.Fatalf("%d held, %d services", len(c.Held), len(c.Tree.Services))
 	}
 	versions := [2]*model.Subtree{}
 	for i := range versions {
@@ -64,9 +67,32 @@
 	for n := 0; b.Loop(); n++ {
 		next := *versions[n%2]
 		next.Revision = known.Revision + 1
-		subtrees := maps.Clone(known.Subtrees)
-		subtrees[next.Key] = &next
-		known = model.Cut{Revision: next.Revision, Subtrees: subtrees}
+		known = model.Cut{Revision: next.Revision, Subtrees: maps.Clone(known.Subtrees)}
+		known.Subtrees[next.Key] = &next
 		acceptor.Accept(known)
 	}
 }
+
+// BenchmarkColdStart accepts the whole tree on a node that runs nothing.
+func BenchmarkColdStart(b *testing.B) {
+	tree := benchTree()
+	cut := tree.Cut(tree.Revision())
+	b.ReportAllocs()
+	for b.Loop() {
+		accept.New(document.Decode).Accept(cut)
+	}
+}
+
+// BenchmarkColdStartWithAFault is the worst case of holding back: one team's
+// document is missing, and all others need it by way of each other.
+func BenchmarkColdStartWithAFault(b *testing.B) {
+	tree := benchTree()
+	tree.Remove("teams/t150")
+	cut := tree.Cut(tree.Revision())
+	b.ReportAllocs()
+	for b.Loop() {
+		if c := accept.New(document.Decode).Accept(cut); len(c.Held) != benchTeams-1 {
+			b.Fatalf("%d held", len(c.Held))
+		}
+	}
+}
