Take over the running subtrees of a peer that answers late

A process whose bootstrap time had passed while the platform was down took only the cut of the first peer that answered: with a change held back on the fleet it ran neither that change nor the team that needs the version before, and the added lines of the scenario restart failed with 'held teams/b@3'. A process that knows nothing now takes over running subtrees whenever a peer offers them.

--- a/internal/service/config/config.go
+++ b/internal/service/config/config.go
@@ -122,10 +122,13 @@
 }
 
 func (s *Service) handleDelta(m control.DeltaReceived) {
-	if s.bootstrapping {
+	if s.acceptor.Current().Cut.Revision == 0 && m.Delta.Bootstrap {
 		s.bootstrap(m)
 		return
 	}
+	if s.bootstrapping {
+		return
+	}
 	if next, ok := s.apply(m); ok {
 		s.accept(next)
 	}
@@ -145,9 +148,10 @@
 }
 
 // bootstrap takes over the cut and the running subtrees of a peer. A peer that
-// knows nothing itself is no answer.
+// knows nothing itself is no answer. Running subtrees that are not closed are
+// refused; once the bootstrap time is over, the cut is taken without them.
 func (s *Service) bootstrap(m control.DeltaReceived) {
-	if !m.Delta.Bootstrap || m.Delta.Revision == 0 {
+	if m.Delta.Revision == 0 {
 		return
 	}
 	cut, ok := s.apply(m)
@@ -156,7 +160,9 @@
 	}
 	if err := s.acceptor.Adopt(replicate.RunningOf(cut, m.Delta)); err != nil {
 		s.log.Warn("running subtrees of the peer refused", "peer", m.From.Peer, "error", err)
-		return
+		if s.bootstrapping {
+			return
+		}
 	}
 	s.log.Info("configuration taken over", "peer", m.From.Peer, "revision", cut.Revision)
 	s.accept(cut)
