Take over versions that a faulty one superseded at once

When a good version of a document is followed at once by a faulty one, only the nodes that read in between run the good one; the others keep the version before until the next change, so an accepted configuration was not in force on every node. Nodes now offer the running versions of held keys to each other; one is taken if it is newer than the running one and the composition stays closed.

--- a/internal/decision/accept/accept.go
+++ b/internal/decision/accept/accept.go
@@ -73,14 +73,16 @@
 // Accept moves to a newer cut and returns the new configuration. A cut that is
 // not newer changes nothing.
 func (a *Acceptor) Accept(cut model.Cut) *model.Configuration {
-	if cut.Revision <= a.current.Cut.Revision {
-		return a.current
+	if cut.Revision > a.current.Cut.Revision {
+		a.decide(cut)
 	}
+	return a.current
+}
+
+func (a *Acceptor) decide(cut model.Cut) {
 	trial := newTrial(a.index, a.candidates(cut))
-	trial.holdBack()
-	trial.release()
+	trial.run()
 	a.publish(cut, trial)
-	return a.current
 }
 
 // Accept returns the configuration that follows from running subtrees, which
@@ -136,16 +138,13 @@
 func (a *Acceptor) publish(cut model.Cut, trial *trial) {
 	next := &model.Configuration{Cut: cut, Running: a.current.Running, Tree: a.current.Tree}
 	a.held = map[model.Key]*part{}
-	changed := map[model.Key]*model.Subtree{}
 	for _, c := range trial.candidates {
-		if !c.held {
-			changed[c.key] = c.subtree
-			continue
+		if c.held {
+			a.held[c.key] = c.next
+			next.Held = append(next.Held, model.Held{Key: c.key, Revision: c.subtree.Revision, Findings: c.reasons})
 		}
-		a.held[c.key] = c.next
-		next.Held = append(next.Held, model.Held{Key: c.key, Revision: c.subtree.Revision, Findings: c.reasons})
 	}
-	if len(changed) > 0 {
+	if changed := trial.accepted(); len(changed) > 0 {
 		next.Running = overlay(a.current.Running, changed, cut)
 		next.Tree = trial.index.tree()
 	}
--- /dev/null
+++ b/internal/decision/accept/offer.go
@@ -0,0 +1,61 @@
+package accept
+
+import (
+	"slices"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// Offer takes over versions that a peer runs of keys whose newest version is
+// held back here. A version is taken only if it is newer than the running one
+// and the composition stays closed; then the held subtrees are tried again.
+func (a *Acceptor) Offer(versions []*model.Subtree) *model.Configuration {
+	offers := a.offers(versions)
+	if len(offers) == 0 {
+		return a.current
+	}
+	trial := newTrial(a.index, a.withHeld(offers))
+	trial.run()
+	taken := trial.accepted()
+	if len(taken) == 0 {
+		return a.current
+	}
+	cut := a.current.Cut
+	a.current = &model.Configuration{Cut: cut, Running: overlay(a.current.Running, taken, cut), Tree: trial.index.tree()}
+	a.decide(cut)
+	return a.current
+}
+
+// offers returns the versions that lie between the running and the held one.
+func (a *Acceptor) offers(versions []*model.Subtree) []*candidate {
+	var out []*candidate
+	for _, subtree := range versions {
+		key := subtree.Key
+		running := a.current.Running[key]
+		held := slices.ContainsFunc(a.current.Held, func(h model.Held) bool {
+			return h.Key == key && h.Revision > subtree.Revision
+		})
+		repeated := slices.ContainsFunc(out, func(c *candidate) bool { return c.key == key })
+		if !held || repeated || len(subtree.Rejected) > 0 || (running != nil && subtree.Revision <= running.Revision) {
+			continue
+		}
+		if subtree.Removed && running == nil {
+			continue
+		}
+		out = append(out, &candidate{key: key, subtree: subtree, next: a.part(subtree), previous: a.index.parts[key]})
+	}
+	return out
+}
+
+// withHeld adds the held subtrees of other keys, which may need the offers and
+// be needed by them.
+func (a *Acceptor) withHeld(offers []*candidate) []*candidate {
+	out := slices.Clone(offers)
+	for _, c := range a.candidates(a.current.Cut) {
+		if !slices.ContainsFunc(offers, func(o *candidate) bool { return o.key == c.key }) {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, compareCandidates)
+	return out
+}
--- a/internal/decision/accept/trial.go
+++ b/internal/decision/accept/trial.go
@@ -36,6 +36,23 @@
 	return t
 }
 
+// run decides which candidates are held.
+func (t *trial) run() {
+	t.holdBack()
+	t.release()
+}
+
+// accepted returns the subtrees of the candidates in force.
+func (t *trial) accepted() map[model.Key]*model.Subtree {
+	out := map[model.Key]*model.Subtree{}
+	for _, c := range t.candidates {
+		if !c.held {
+			out[c.key] = c.subtree
+		}
+	}
+	return out
+}
+
 // holdBack takes the newest candidate to blame for each violation out of force,
 // until the composition is closed.
 func (t *trial) holdBack() {
--- a/internal/decision/replicate/delta.go
+++ b/internal/decision/replicate/delta.go
@@ -24,9 +24,9 @@
 	Digest model.Hash
 	// Subtrees holds the subtrees that changed after the base.
 	Subtrees []SubtreeDelta
-	// Running holds the sender's running subtrees that differ from the cut. It
-	// is filled for a fresh process only. A removed subtree of revision 0 means
-	// that the sender runs no version of the key.
+	// Running holds the sender's running subtrees that differ from the cut: all
+	// of them for a fresh process, where a removed subtree of revision 0 means
+	// that the sender runs no version of the key; else see [HeldRunning].
 	Running []SubtreeDelta
 	// Bootstrap marks the answer to a fresh process.
 	Bootstrap bool
@@ -124,6 +124,32 @@
 	return running
 }
 
+// HeldRunning returns the running subtrees of the keys whose newest version is
+// not in force. A node that never saw such a version, because a faulty one
+// followed at once, can take it over and so run what its peers run. Versions up
+// to the caller's cut revision base are left out, as the caller saw those.
+func HeldRunning(configuration *model.Configuration, base model.Revision) []SubtreeDelta {
+	var out []SubtreeDelta
+	for _, held := range configuration.Held {
+		running := configuration.Running[held.Key]
+		if running != nil && running.Revision > base {
+			out = append(out, SubtreeDelta{Subtree: *running})
+		}
+	}
+	return out
+}
+
+// Offered returns the sound subtrees among those that a peer runs.
+func Offered(running []SubtreeDelta) []*model.Subtree {
+	var out []*model.Subtree
+	for _, received := range running {
+		if subtree, ok := takeWhole(received); ok {
+			out = append(out, subtree)
+		}
+	}
+	return out
+}
+
 // sameVersion reports whether a subtree of the cut is the running one. Absent
 // and removed are the same.
 func sameVersion(known, running *model.Subtree) bool {
--- a/internal/decision/replicate/digest.go
+++ b/internal/decision/replicate/digest.go
@@ -29,6 +29,12 @@
 	return model.Hash(h.Sum(nil))
 }
 
+// RunningDigest identifies the running subtrees. It is compared by nodes that
+// hold some subtree back, since only those can differ at the same cut.
+func RunningDigest(configuration *model.Configuration) model.Hash {
+	return Digest(model.Cut{Subtrees: configuration.Running})
+}
+
 func rejectedMark(subtree *model.Subtree) byte {
 	if len(subtree.Rejected) > 0 {
 		return 1
--- a/internal/service/config/config.go
+++ b/internal/service/config/config.go
@@ -130,7 +130,8 @@
 		return
 	}
 	if next, ok := s.apply(m); ok {
-		s.accept(next)
+		s.acceptor.Accept(next)
+		s.publish(s.acceptor.Offer(replicate.Offered(m.Delta.Running)))
 	}
 }
 
@@ -169,10 +170,12 @@
 	s.endBootstrap()
 }
 
-// accept decides on a cut and publishes what follows.
-func (s *Service) accept(cut model.Cut) {
+// accept decides on a cut.
+func (s *Service) accept(cut model.Cut) { s.publish(s.acceptor.Accept(cut)) }
+
+// publish stores a new configuration and tells the other services.
+func (s *Service) publish(after *model.Configuration) {
 	before := s.snapshot.Load()
-	after := s.acceptor.Accept(cut)
 	if after == before {
 		return
 	}
--- a/internal/service/config/network_test.go
+++ b/internal/service/config/network_test.go
@@ -67,10 +67,22 @@
 	if known.Cut.Revision == 0 {
 		return replicate.Bootstrap(peer.configuration())
 	}
+	base := known.Cut.Revision
 	if n.repair.All {
-		return replicate.Diff(peer.configuration().Cut, 0, nil)
+		base = 0
 	}
-	return replicate.Diff(peer.configuration().Cut, known.Cut.Revision, n.repair.Keys)
+	delta := replicate.Diff(peer.configuration().Cut, base, n.repair.Keys)
+	delta.Running = replicate.HeldRunning(peer.configuration(), base)
+	return delta
+}
+
+// compare returns what peer answers to a comparison of the running subtrees.
+func (n *node) compare(peer *node) replicate.Delta {
+	delta := replicate.Diff(peer.configuration().Cut, n.configuration().Cut.Revision, nil)
+	if replicate.RunningDigest(n.configuration()) != replicate.RunningDigest(peer.configuration()) {
+		delta.Running = replicate.HeldRunning(peer.configuration(), 0)
+	}
+	return delta
 }
 
 func (n *node) receive(delta replicate.Delta) { n.handle(control.DeltaReceived{Delta: delta}) }
--- a/internal/service/config/property_test.go
+++ b/internal/service/config/property_test.go
@@ -74,7 +74,7 @@
 	t := m.t
 	i := rapid.IntRange(0, len(m.nodes)-1).Draw(t, "node")
 	n := m.nodes[i]
-	switch rapid.SampledFrom([]string{"publish", "publish", "read", "ask", "ask", "deliver", "deliver", "restart"}).Draw(t, "step") {
+	switch rapid.SampledFrom([]string{"publish", "publish", "read", "ask", "ask", "compare", "deliver", "deliver", "restart"}).Draw(t, "step") {
 	case "publish":
 		m.publish()
 	case "read":
@@ -86,6 +86,8 @@
 			answer = damaged(t, answer)
 		}
 		m.answers = append(m.answers, answer)
+	case "compare":
+		m.answers = append(m.answers, n.compare(m.peer()))
 	case "deliver":
 		if len(m.answers) > 0 {
 			answer := m.answers[rapid.IntRange(0, len(m.answers)-1).Draw(t, "answer")]
--- a/internal/service/config/scenario_test.go
+++ b/internal/service/config/scenario_test.go
@@ -21,6 +21,7 @@
 //	read NODE [revision=N]         the node reads the platform, maybe a stale copy
 //	tear NODE key=KEY at=N         it reads a cut in which one key is an old copy
 //	poll NODE from=NODE            the node polls a peer
+//	compare NODE from=NODE         it compares what it runs with a peer
 //	send NAME from=NODE to=NODE    the peer's answer stays under way as NAME
 //	deliver NAME to=NODE           it arrives, maybe late, again or elsewhere
 //	damage NAME drop=KEY|leaf=PATH a fault on the way
@@ -83,6 +84,8 @@
 		s.nodes[subject].handle(control.CutReceived{Cut: s.tornCut(t, d)})
 	case "poll":
 		s.nodes[subject].receive(s.nodes[subject].poll(s.nodes[from]))
+	case "compare":
+		s.nodes[subject].receive(s.nodes[subject].compare(s.nodes[from]))
 	case "send":
 		s.answers[subject] = s.nodes[to].poll(s.nodes[from])
 		return fmt.Sprintln("revision", s.answers[subject].Revision)
