--- a/internal/service/ingress/fakes_test.go
+++ b/internal/service/ingress/fakes_test.go
@@ -1,6 +1,8 @@
 package ingress_test
 
 import (
+	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +54,12 @@
 	f.events = append(f.events, string(kind)+" "+detail)
 }
 
+func (f *fakeTimeline) String() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return strings.Join(f.events, "\n")
+}
+
 type fakeMetrics struct{ scope tally.TestScope }
 
 func (*fakeMetrics) Name() string { return control.Metrics }
@@ -64,6 +72,19 @@
 
 func (f *fakeWatchdog) Fresh() bool { return !f.stale.Load() }
 
+// observedListener tells when it was closed.
+type observedListener struct {
+	net.Listener
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (l *observedListener) Close() error {
+	err := l.Listener.Close()
+	l.once.Do(func() { close(l.closed) })
+	return err
+}
+
 // observedBalancer tells when the outcomes of attempts were reported.
 type observedBalancer struct {
 	*balancer.Service
