Carry running versions of held keys between nodes

Each poll carries a digest over the caller's running subtrees (new field running_digest). A newer cut comes with the running versions of held keys that the caller cannot have seen; a comparison at the same cut, or a held poll during which the peer's running set changed, with all of them. A held poll does not answer only because the digests differ, since nodes may differ for long.

--- a/internal/service/exchange/question.go
+++ b/internal/service/exchange/question.go
@@ -61,6 +61,7 @@
 		Time:             uint64(s.timeline.Clock().Now()),
 	}
 	s.setBase(request, ask)
+	s.setRunning(request, ask)
 	if ask.bootstrap {
 		return request
 	}
@@ -105,7 +106,7 @@
 	if err != nil {
 		return err
 	}
-	if delta.Revision > model.Revision(request.GetCutRevision()) || ask.bootstrap {
+	if delta.Revision > model.Revision(request.GetCutRevision()) || ask.bootstrap || len(delta.Running) > 0 {
 		messages = append(messages, control.DeltaReceived{From: origin, Delta: delta})
 	}
 	done := pollDone{from: p, round: ask.round, handled: make(chan struct{})}
--- a/internal/service/exchange/server.go
+++ b/internal/service/exchange/server.go
@@ -11,7 +11,6 @@
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/members"
 	"github.com/galenalever/galenalever/internal/decision/rank"
-	"github.com/galenalever/galenalever/internal/decision/replicate"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
 	"github.com/galenalever/galenalever/internal/wire"
@@ -55,9 +54,11 @@
 
 // query is a received question in the types of the decisions.
 type query struct {
-	from      model.InstanceID
-	base      model.Revision
-	whole     []model.Key
+	from  model.InstanceID
+	base  model.Revision
+	whole []model.Key
+	// running is the digest of what the caller runs.
+	running   []byte
 	cursor    members.Cursor
 	digests   []uint64
 	wait      time.Duration
@@ -70,6 +71,7 @@
 		from:      model.InstanceID(request.GetNode()),
 		base:      model.Revision(request.GetCutRevision()),
 		whole:     wireconv.KeysFromWire(request.GetWholeKeys()),
+		running:   request.GetRunningDigest(),
 		cursor:    members.Cursor{Epoch: request.GetMemberEpoch(), Position: request.GetMemberPosition()},
 		digests:   request.GetMemberBuckets(),
 		wait:      min(wait, maxHold),
@@ -86,6 +88,7 @@
 	over := make(chan struct{})
 	timer := s.clock.AfterFunc(q.wait, func() { close(over) })
 	defer timer.Stop()
+	begin := s.states.Load()
 	for {
 		state, stateChanged := s.states.Watch()
 		view, viewChanged := s.members.Watch()
@@ -93,18 +96,18 @@
 		if state == nil || state.Cut.Revision == 0 {
 			return s.refusal(q.from), nil
 		}
-		news := hasNews(state, view, q)
+		news := hasNews(state, view, q) || offersRunning(begin, state, q)
 		if q.wait <= 0 || (news && s.watchdog.Fresh()) {
-			return s.answer(state, view, q), nil
+			return s.answer(begin, state, view, q), nil
 		}
 		select {
 		case <-stateChanged:
 		case <-viewChanged:
 		case <-synchronised:
 		case <-over:
-			return s.answer(s.states.Load(), s.members.Load(), q), nil
+			return s.answer(begin, s.states.Load(), s.members.Load(), q), nil
 		case <-s.stopping:
-			return s.answer(state, view, q), nil
+			return s.answer(begin, state, view, q), nil
 		case <-ctx.Done():
 			return nil, twirp.NewError(twirp.Canceled, ctx.Err().Error())
 		}
@@ -119,16 +122,11 @@
 	return view.Cursor() != q.cursor
 }
 
-func (s *Service) answer(state *model.Configuration, view *members.View, q query) *wire.PollResponse {
+// answer tells the caller what it lacks. Begin is the configuration at the time
+// when the poll arrived.
+func (s *Service) answer(begin, state *model.Configuration, view *members.View, q query) *wire.PollResponse {
 	response := &wire.PollResponse{Time: uint64(s.timeline.Clock().Now())}
-	switch {
-	case q.bootstrap:
-		wireconv.SetDelta(response, replicate.Bootstrap(state))
-	case state.Cut.Revision > q.base:
-		wireconv.SetDelta(response, replicate.Diff(state.Cut, q.base, q.whole))
-	default:
-		response.CutRevision = uint64(state.Cut.Revision)
-	}
+	wireconv.SetDelta(response, configurationDelta(begin, state, q))
 	s.addMembers(response, view, q)
 	return response
 }
--- a/internal/wire/wireconv/delta.go
+++ b/internal/wire/wireconv/delta.go
@@ -15,7 +15,9 @@
 // SetDelta fills the configuration part of a poll's answer.
 func SetDelta(response *wire.PollResponse, delta replicate.Delta) {
 	response.CutRevision = uint64(delta.Revision)
-	response.CutDigest = delta.Digest[:]
+	if delta.Digest != (model.Hash{}) {
+		response.CutDigest = delta.Digest[:]
+	}
 	response.Subtrees = subtreesToWire(delta.Subtrees)
 	response.Running = subtreesToWire(delta.Running)
 }
