--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -18,8 +18,8 @@
 // step is how often a condition is checked, in simulated time.
 const step = 50 * time.Millisecond
 
-// TestScenarios runs each file of testdata as a script. All nodes live in one
-// bubble of synctest, so the time is simulated.
+// TestScenarios runs each file of testdata as a script. The time is simulated;
+// the bubble of synctest tells when all nodes wait for it to pass.
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
@@ -34,6 +34,8 @@
 	t    *testing.T
 	rng  *rand.Rand
 	mesh *mesh
+	// teams is the number of teams, versions that of their published documents.
+	teams, versions int
 }
 
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
@@ -43,7 +45,7 @@
 	case "publish":
 		return s.publish(d)
 	case "run":
-		time.Sleep(duration(t, d, "for"))
+		s.mesh.advance(duration(t, d, "for"))
 	case "kill":
 		return s.kill(d)
 	case "restart":
@@ -81,34 +83,53 @@
 }
 
 func (s *script) start(d *datadriven.TestData) string {
-	var count, limit, values int
+	var count, limit, teams int
 	var names string
 	d.ScanArgs(s.t, "nodes", &count)
 	d.ScanArgs(s.t, "domains", &names)
 	d.ScanArgs(s.t, "limit", &limit)
-	d.ScanArgs(s.t, "values", &values)
+	d.ScanArgs(s.t, "teams", &teams)
 	var domains []model.FailureDomain
 	for name := range strings.SplitSeq(names, "+") {
 		domains = append(domains, model.FailureDomain(name))
 	}
 	s.mesh = newMesh(domains, limit)
-	for i := range values {
-		s.mesh.publish(teamKey(i))
+	s.teams = teams
+	s.mesh.publish(model.RootKey, rootDocument(teams))
+	for i := range teams {
+		s.publishTeam(i)
 	}
 	s.mesh.fill(count)
 	return ""
 }
 
-func teamKey(i int) model.Key { return model.TeamKey(model.TeamName(fmt.Sprintf("team-%d", i))) }
+func teamName(i int) string { return fmt.Sprintf("team-%d", i) }
+
+// rootDocument grants each team a path.
+func rootDocument(teams int) string {
+	text := "teams:\n"
+	for i := range teams {
+		text += fmt.Sprintf("  %s: {hosts: [sewa.example], paths: [/%s]}\n", teamName(i), teamName(i))
+	}
+	return text
+}
+
+// publishTeam publishes a new version of a team's document.
+func (s *script) publishTeam(i int) {
+	s.versions++
+	text := fmt.Sprintf("team: %s\nservices:\n  app: {slots: 6, long_slots: 2, queue: %d}\n", teamName(i), s.versions)
+	text += fmt.Sprintf("routes:\n  all: {hosts: [sewa.example], path: /%s, service: app}\n", teamName(i))
+	s.mesh.publish(model.TeamKey(model.TeamName(teamName(i))), text)
+}
 
 func (s *script) publish(d *datadriven.TestData) string {
 	count := 1
 	d.MaybeScanArgs(s.t, "count", &count)
 	for i := range count {
 		if i > 0 {
-			time.Sleep(duration(s.t, d, "every"))
+			s.mesh.advance(duration(s.t, d, "every"))
 		}
-		s.mesh.publish(teamKey(s.rng.IntN(len(s.mesh.platform.values))))
+		s.publishTeam(s.rng.IntN(s.teams))
 	}
 	return ""
 }
@@ -144,7 +165,10 @@
 	d.ScanArgs(s.t, "domain", &domain)
 	s.mesh.mu.Lock()
 	defer s.mesh.mu.Unlock()
-	s.mesh.cut[model.FailureDomain(domain)] = parted
+	s.mesh.cutOff[model.FailureDomain(domain)] = parted
+	if !d.HasArg("platform-only") {
+		s.mesh.cut[model.FailureDomain(domain)] = parted
+	}
 }
 
 func (s *script) setPlatform(d *datadriven.TestData) {
@@ -174,12 +198,12 @@
 // within waits until a count is 0 and reports the rest.
 func (s *script) within(d *datadriven.TestData, what string, count func() int) string {
 	limit := duration(s.t, d, "within")
-	begin := time.Now()
-	for count() > 0 && time.Since(begin) < limit {
-		time.Sleep(step)
+	begin := s.mesh.clock.Now()
+	for count() > 0 && s.mesh.clock.Now().Sub(begin) < limit {
+		s.mesh.advance(step)
 	}
 	rest := count()
-	s.t.Logf("%s: %s after %s, %d left", d.Pos, what, time.Since(begin), rest)
+	s.t.Logf("%s: %s after %s, %d left", d.Pos, what, s.mesh.clock.Now().Sub(begin), rest)
 	if rest > 0 {
 		return fmt.Sprintf("%d nodes are not", rest)
 	}
--- a/internal/distribution/mesh_test.go
+++ b/internal/distribution/mesh_test.go
@@ -3,16 +3,22 @@
 import (
 	"fmt"
 	"sync"
+	"testing/synctest"
 	"time"
 
+	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/service/source"
 )
 
+// resolution is the least step of simulated time.
+const resolution = time.Millisecond
+
 // mesh is all nodes, the network and the platform.
 type mesh struct {
 	domains []model.FailureDomain
 	seeds   []string
+	clock   *clock.Fake
 
 	mu       sync.Mutex
 	platform *platform
@@ -20,8 +26,11 @@
 	byAddr   map[string]*node
 	// cut holds the domains that are parted from all others.
 	cut map[model.FailureDomain]bool
-	// last is the newest revision that each instance has run, in any process.
-	last     map[model.InstanceID]model.Revision
+	// cutOff holds the domains that do not reach the platform.
+	cutOff map[model.FailureDomain]bool
+	// last holds the newest revisions that each instance has run, in any
+	// process.
+	last     map[model.InstanceID]map[model.Key]model.Revision
 	reverted []string
 	bytes    uint64
 	perNode  map[model.InstanceID]uint64
@@ -29,12 +38,15 @@
 }
 
 func newMesh(domains []model.FailureDomain, limit int) *mesh {
+	clk := clock.NewFake(time.Unix(0, 0))
 	return &mesh{
 		domains:  domains,
-		platform: newPlatform(limit),
+		clock:    clk,
+		platform: newPlatform(clk, limit),
 		byAddr:   make(map[string]*node),
 		cut:      make(map[model.FailureDomain]bool),
-		last:     make(map[model.InstanceID]model.Revision),
+		cutOff:   make(map[model.FailureDomain]bool),
+		last:     make(map[model.InstanceID]map[model.Key]model.Revision),
 		perNode:  make(map[model.InstanceID]uint64),
 	}
 }
@@ -52,7 +64,7 @@
 		listed.Announced = model.Announcement{}
 		listed.Listed, listed.ListedAt = model.ListingLive, m.platform.listed
 		m.platform.instances = append(m.platform.instances, listed)
-		m.nodes = append(m.nodes, &node{self: self, dead: make(chan struct{})})
+		m.nodes = append(m.nodes, newNode(self))
 	}
 	for i := range m.nodes {
 		m.start(i)
@@ -71,7 +83,7 @@
 func (m *mesh) start(i int) {
 	self := m.nodes[i].self
 	m.lives++
-	self.Incarnation = model.Incarnation(time.Now().UnixMilli())
+	self.Incarnation = model.Incarnation(m.clock.Now().UnixMilli())
 	n := startNode(m, self, m.lives)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -97,13 +109,21 @@
 	return n
 }
 
-func (m *mesh) observe(id model.InstanceID, revision model.Revision) {
+// observe compares what a node runs with what its instance ever ran before.
+func (m *mesh) observe(id model.InstanceID, c *model.Configuration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if revision < m.last[id] {
-		m.reverted = append(m.reverted, fmt.Sprintf("%s from %d to %d", id, m.last[id], revision))
+	last := m.last[id]
+	if last == nil {
+		last = make(map[model.Key]model.Revision)
+		m.last[id] = last
+	}
+	for key, subtree := range c.Running {
+		if subtree.Revision < last[key] {
+			m.reverted = append(m.reverted, fmt.Sprintf("%s: %s from %d to %d", id, key, last[key], subtree.Revision))
+		}
+		last[key] = max(last[key], subtree.Revision)
 	}
-	m.last[id] = max(m.last[id], revision)
 }
 
 func (m *mesh) countBytes(a, b *node, n int) {
@@ -115,12 +135,12 @@
 }
 
 // publish stores one value and returns the new revision.
-func (m *mesh) publish(key model.Key) model.Revision {
+func (m *mesh) publish(key model.Key, text string) model.Revision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.platform
 	p.revision++
-	p.values[key] = source.Value{Key: key, Revision: p.revision, Text: fmt.Appendf(nil, "%s at %d", key, p.revision)}
+	p.values[key] = source.Value{Key: key, Revision: p.revision, Text: []byte(text)}
 	p.notify()
 	return p.revision
 }
@@ -130,7 +150,23 @@
 	m.mu.Lock()
 	newest := m.platform.revision
 	m.mu.Unlock()
-	return m.count(func(n *node) bool { return n.revision() != newest })
+	return m.count(func(n *node) bool { return n.behind(newest) })
+}
+
+// advance lets simulated time pass. After each instant at which a timer fires,
+// it waits until every goroutine is blocked again.
+func (m *mesh) advance(d time.Duration) {
+	end := m.clock.Now().Add(d)
+	for {
+		synctest.Wait()
+		next, ok := m.clock.Next()
+		if !ok || next.After(end) {
+			break
+		}
+		m.clock.Advance(max(next.Sub(m.clock.Now()), resolution))
+	}
+	m.clock.Advance(end.Sub(m.clock.Now()))
+	synctest.Wait()
 }
 
 // count returns the number of live nodes that fulfil a condition.
--- a/internal/distribution/network_test.go
+++ b/internal/distribution/network_test.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/wire"
 )
@@ -65,13 +66,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() {
-		defer cancel()
-		select {
-		case <-to.dead:
-		case <-ctx.Done():
-		}
-	}()
+	defer context.AfterFunc(to.life, cancel)()
 	response, err := serve(ctx, to)
 	if err != nil {
 		return none, err
@@ -86,7 +81,7 @@
 	if l.from.self.Domain != to.self.Domain {
 		delay = remoteDelay
 	}
-	time.Sleep(delay)
+	_ = clock.Wait(ctx, l.mesh.clock, delay)
 	switch {
 	case !l.from.alive() || !to.alive():
 		return errRefused
--- a/internal/distribution/node_test.go
+++ b/internal/distribution/node_test.go
@@ -7,11 +7,11 @@
 	"log/slog"
 	"time"
 
-	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
-	"github.com/galenalever/galenalever/internal/decision/replicate"
+	"github.com/galenalever/galenalever/internal/document"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/service/config"
 	"github.com/galenalever/galenalever/internal/service/exchange"
 	"github.com/galenalever/galenalever/internal/service/membership"
 	"github.com/galenalever/galenalever/internal/service/source"
@@ -19,6 +19,9 @@
 	"github.com/galenalever/galenalever/internal/timeline"
 )
 
+// bootstrapFor is the setting of all nodes.
+const bootstrapFor = 2 * time.Second
+
 // node is one process with its real control services.
 type node struct {
 	self       model.Self
@@ -26,27 +29,34 @@
 	exchange   *exchange.Service
 	membership *membership.Service
 	watchdog   *watchdog.Service
-	config     *configService
-	// dead is closed when the process is killed.
-	dead chan struct{}
+	config     *config.Service
+	// life ends when the process is killed.
+	life context.Context
+	end  context.CancelFunc
+}
+
+func newNode(self model.Self) *node {
+	n := &node{self: self}
+	n.life, n.end = context.WithCancel(context.Background())
+	return n
 }
 
 func startNode(m *mesh, self model.Self, seed uint64) *node {
-	n := &node{self: self, dead: make(chan struct{})}
+	n := newNode(self)
 	n.membership = membership.New(membership.Config{Self: self})
 	n.watchdog = watchdog.New()
-	n.config = &configService{mesh: m, id: self.ID, state: kernel.NewSnapshot(&model.Configuration{})}
+	n.config = config.New(bootstrapFor)
 	n.exchange = exchange.New(exchange.Config{
 		Self:         self,
 		Dial:         m.dialer(n),
 		Seeds:        m.seeds,
-		BootstrapFor: 2 * time.Second,
+		BootstrapFor: bootstrapFor,
 		RandomSeed:   seed,
 	})
-	src := source.New(source.Config{Self: self, Platform: &platformLink{mesh: m, node: n}, Parse: parse, RandomSeed: seed})
-	n.kernel = kernel.New(clock.System{}, slog.New(slog.DiscardHandler))
-	events := &timelineService{clock: timeline.NewClock(clock.System{})}
-	if err := n.kernel.Register(events, n.watchdog, n.config, n.membership, src, n.exchange); err != nil {
+	src := source.New(source.Config{Self: self, Platform: &platformLink{mesh: m, node: n}, Parse: document.NewSubtree, RandomSeed: seed})
+	n.kernel = kernel.New(m.clock, slog.New(slog.DiscardHandler))
+	events := &timelineService{clock: timeline.NewClock(m.clock)}
+	if err := n.kernel.Register(events, n.watchdog, n.config, n.membership, src, n.exchange, &observer{mesh: m, id: self.ID}); err != nil {
 		panic(err)
 	}
 	if err := n.kernel.Start(context.Background()); err != nil {
@@ -58,69 +68,32 @@
 
 // kill ends the process without a word to others.
 func (n *node) kill() {
-	close(n.dead)
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = n.kernel.Stop(ctx)
-}
-
-func (n *node) alive() bool {
-	select {
-	case <-n.dead:
-		return false
-	default:
-		return true
-	}
+	n.end()
+	_ = n.kernel.Stop(n.life)
 }
 
-func (n *node) revision() model.Revision { return n.config.state.Load().Cut.Revision }
+func (n *node) alive() bool { return n.life.Err() == nil }
 
-func parse(key model.Key, revision model.Revision, text []byte, removed bool) *model.Subtree {
-	leaves := []model.Leaf{{Path: "text", Value: text, Changed: revision}}
-	return &model.Subtree{Key: key, Revision: revision, Removed: removed, Leaves: leaves, Hash: model.HashLeaves(leaves)}
+// behind reports whether the node does not know the revision or does not run
+// all of it.
+func (n *node) behind(newest model.Revision) bool {
+	c := n.config.Configuration().Load()
+	return c.Cut.Revision != newest || len(c.Held) > 0
 }
 
-// configService keeps the cut by the real rules of replication and runs all of
-// it.
-type configService struct {
-	mesh  *mesh
-	id    model.InstanceID
-	loop  *kernel.Loop
-	state *kernel.Snapshot[*model.Configuration]
+// observer reports every configuration that a node runs to the mesh.
+type observer struct {
+	mesh *mesh
+	id   model.InstanceID
 }
 
-func (*configService) Name() string { return control.Config }
+func (*observer) Name() string { return "observer" }
 
-func (c *configService) Configuration() *kernel.Snapshot[*model.Configuration] { return c.state }
-
-func (c *configService) Provision(k *kernel.Context) error {
-	c.loop = k.Loop
-	kernel.Subscribe(k.Loop, func(m control.CutReceived) {
-		if next, err := replicate.Advance(c.state.Load().Cut, m.Cut); err == nil {
-			c.store(next)
-		}
-	})
-	kernel.Subscribe(k.Loop, func(m control.DeltaReceived) {
-		result := replicate.Apply(c.state.Load().Cut, m.Delta)
-		if len(result.Mismatched) > 0 || result.Resync {
-			c.loop.Emit(control.WholeSubtreesNeeded{From: m.From, Keys: result.Mismatched, All: result.Resync})
-			return
-		}
-		c.store(result.Cut)
-	})
+func (o *observer) Provision(c *kernel.Context) error {
+	kernel.Subscribe(c.Loop, func(m control.ConfigurationChanged) { o.mesh.observe(o.id, m.Configuration) })
 	return nil
 }
 
-func (c *configService) store(cut model.Cut) {
-	if cut.Revision == c.state.Load().Cut.Revision {
-		return
-	}
-	next := &model.Configuration{Cut: cut, Running: cut.Subtrees}
-	c.state.Store(next)
-	c.mesh.observe(c.id, cut.Revision)
-	c.loop.Emit(control.ConfigurationChanged{Configuration: next})
-}
-
 // timelineService drops the events.
 type timelineService struct{ clock *timeline.Clock }
 
--- a/internal/distribution/platform_test.go
+++ b/internal/distribution/platform_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/decision/reading"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/service/source"
@@ -14,6 +15,7 @@
 
 // platform is the configuration service: it counts each call against a limit.
 type platform struct {
+	clock     clock.Clock
 	revision  model.Revision
 	values    map[model.Key]source.Value
 	instances []model.Member
@@ -30,13 +32,13 @@
 	refused int
 }
 
-func newPlatform(limit int) *platform {
-	return &platform{values: make(map[model.Key]source.Value), changed: make(chan struct{}), limit: limit}
+func newPlatform(clk clock.Clock, limit int) *platform {
+	return &platform{clock: clk, values: make(map[model.Key]source.Value), changed: make(chan struct{}), limit: limit}
 }
 
 // admit counts a call. The mesh's lock is held.
 func (p *platform) admit() error {
-	if now := time.Now().Unix(); now != p.second {
+	if now := p.clock.Now().Unix(); now != p.second {
 		p.second, p.calls = now, 0
 	}
 	p.calls++
@@ -62,16 +64,16 @@
 	node *node
 }
 
-// reach moves a call to the platform, which a parted domain cannot reach.
+// reach moves a call to the platform, which some domains cannot reach.
 func (l *platformLink) reach(ctx context.Context) error {
-	time.Sleep(remoteDelay)
+	_ = clock.Wait(ctx, l.mesh.clock, remoteDelay)
 	l.mesh.mu.Lock()
-	parted := l.mesh.cut[l.node.self.Domain]
+	parted := l.mesh.cutOff[l.node.self.Domain]
 	l.mesh.mu.Unlock()
 	if !parted {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, l.mesh.clock, callTimeout)
 	defer cancel()
 	<-ctx.Done()
 	return ctx.Err()
@@ -88,7 +90,7 @@
 	if err := p.admit(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	ctx, cancel := clock.WithTimeout(ctx, l.mesh.clock, wait)
 	defer cancel()
 	for ctx.Err() == nil && !p.outage && !news(p) {
 		changed := p.changed
@@ -117,7 +119,7 @@
 	if err := l.held(ctx, wait, func(p *platform) bool { return p.shown() > after }); err != nil {
 		return source.KeyListing{}, err
 	}
-	time.Sleep(remoteDelay)
+	_ = clock.Wait(ctx, l.mesh.clock, remoteDelay)
 	l.mesh.mu.Lock()
 	defer l.mesh.mu.Unlock()
 	out := source.KeyListing{Revision: l.mesh.platform.shown()}
@@ -152,7 +154,7 @@
 	if err := l.held(ctx, wait, func(p *platform) bool { return p.listed > after }); err != nil {
 		return source.InstanceListing{}, err
 	}
-	time.Sleep(remoteDelay)
+	_ = clock.Wait(ctx, l.mesh.clock, remoteDelay)
 	l.mesh.mu.Lock()
 	defer l.mesh.mu.Unlock()
 	out := source.InstanceListing{Revision: l.mesh.platform.listed}
--- a/internal/service/exchange/compare.go
+++ b/internal/service/exchange/compare.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/decision/rank"
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -31,13 +30,14 @@
 // changes, since a pause calls for a comparison at once.
 func (s *Service) waitToCompare(ctx context.Context, changed <-chan struct{}, rng *rand.Rand, interval time.Duration) {
 	jittered := interval/2 + time.Duration(rng.Int64N(int64(interval)))
-	waitCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	s.tasks.Go(func() {
-		defer cancel()
-		waitFor(waitCtx, changed)
-	})
-	_ = clock.Wait(waitCtx, s.clock, jittered)
+	over := make(chan struct{})
+	timer := s.clock.AfterFunc(jittered, func() { close(over) })
+	defer timer.Stop()
+	select {
+	case <-over:
+	case <-changed:
+	case <-ctx.Done():
+	}
 }
 
 func (s *Service) partner(r role, turn int, rng *rand.Rand) (model.Member, bool) {
--- a/internal/service/exchange/outbox.go
+++ b/internal/service/exchange/outbox.go
@@ -118,7 +118,7 @@
 }
 
 func (o *outbox) send(to model.Member, request *wire.AnnounceRequest) error {
-	ctx, cancel := context.WithTimeout(o.ctx, announceTimeout)
+	ctx, cancel := clock.WithTimeout(o.ctx, o.service.clock, announceTimeout)
 	defer cancel()
 	_, err := o.service.dial(to.Addresses.Control).Announce(ctx, request)
 	return err
@@ -130,7 +130,7 @@
 	o.mu.Lock()
 	o.closed = true
 	o.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, o.service.clock, flushTimeout)
 	defer cancel()
 	idle := make(chan struct{})
 	go func() {
--- a/internal/service/exchange/question.go
+++ b/internal/service/exchange/question.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/members"
 	"github.com/galenalever/galenalever/internal/kernel"
@@ -43,7 +44,7 @@
 // poll asks a peer and has the answer taken in before it returns.
 func (s *Service) poll(ctx context.Context, p peer, ask question) error {
 	request := s.request(p, ask)
-	callCtx, cancel := context.WithTimeout(ctx, ask.timeout(request))
+	callCtx, cancel := clock.WithTimeout(ctx, s.clock, ask.timeout(request))
 	defer cancel()
 	response, err := s.dial(p.address).Poll(callCtx, request)
 	if err != nil {
