--- a/internal/service/exchange/bootstrap.go
+++ b/internal/service/exchange/bootstrap.go
@@ -2,18 +2,26 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/rank"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/wire"
+	"github.com/galenalever/galenalever/internal/wire/wireconv"
 )
 
 const (
 	// bootstrapPeers is the number of nodes that a fresh process asks in one
 	// attempt.
 	bootstrapPeers = 3
+	// probeTimeout bounds the question for a node's revision.
+	probeTimeout = 500 * time.Millisecond
 	// bootstrapRetryMin and bootstrapRetryMax bound the random pause between
 	// two attempts.
 	bootstrapRetryMin = 150 * time.Millisecond
@@ -31,16 +39,50 @@
 	rng := s.random("bootstrap")
 	s.clock.AfterFunc(s.bootstrapTime(rng), func() { _ = s.loop.Post(ctx, bootstrapOver{}) })
 	for ctx.Err() == nil && !s.hasConfiguration() {
-		for _, p := range s.bootstrapCandidates(rng) {
-			if s.poll(ctx, p, question{bootstrap: true}) == nil {
-				break
-			}
+		if p, ok := s.newest(ctx, s.bootstrapCandidates(rng)); ok {
+			_ = s.poll(ctx, p, question{bootstrap: true}) // a failure is followed by another attempt
 		}
 		pause := bootstrapRetryMin + time.Duration(rng.Int64N(int64(bootstrapRetryMax-bootstrapRetryMin)))
 		_ = clock.Wait(ctx, s.clock, pause)
 	}
 }
 
+// newest asks nodes for the revisions of their cuts and returns the one whose is
+// the greatest, so that a fresh process does not start behind what it ran in an
+// earlier life because it met a node that lags.
+func (s *Service) newest(ctx context.Context, candidates []peer) (peer, bool) {
+	revisions := make([]model.Revision, len(candidates))
+	var group sync.WaitGroup
+	for i, p := range candidates {
+		group.Go(func() { revisions[i] = s.probe(ctx, p) })
+	}
+	group.Wait()
+	if len(revisions) == 0 || slices.Max(revisions) == 0 {
+		return peer{}, false
+	}
+	return candidates[slices.Index(revisions, slices.Max(revisions))], true
+}
+
+// probe returns the revision of a node's cut, or 0 if the node has none or does
+// not answer. The nodes that a refusal names are candidates of the next attempt.
+func (s *Service) probe(ctx context.Context, p peer) model.Revision {
+	ctx, cancel := clock.WithTimeout(ctx, s.clock, probeTimeout)
+	defer cancel()
+	request := &wire.PollRequest{
+		Node:        string(s.config.Self.ID),
+		CutRevision: math.MaxUint64, // nothing is newer
+		Time:        uint64(s.timeline.Clock().Now()),
+	}
+	response, err := s.dial(p.address).Poll(ctx, request)
+	if err != nil {
+		return 0
+	}
+	if hints, err := wireconv.MembersFromWire(response.GetMembers()); err == nil && len(hints) > 0 {
+		_ = s.loop.Post(ctx, control.MembersReceived{From: control.Origin{Peer: p.name()}, Members: hints})
+	}
+	return model.Revision(response.GetCutRevision())
+}
+
 func (s *Service) hasConfiguration() bool {
 	state := s.states.Load()
 	return state != nil && state.Cut.Revision > 0
