--- a/internal/decision/rank/upstream.go
+++ b/internal/decision/rank/upstream.go
@@ -1,6 +1,8 @@
 package rank
 
 import (
+	"slices"
+
 	"github.com/galenalever/galenalever/internal/decision/members"
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -22,7 +24,8 @@
 	// Place is the number of readers that come before a reader. They read
 	// first, so that the others find the news at their upstream.
 	Place int
-	// Upstream is the node to poll; its ID is empty for the first reader.
+	// Upstream is the node to poll; its ID is empty for the first reader. Other
+	// readers poll the one before them.
 	Upstream model.Member
 }
 
@@ -32,7 +35,7 @@
 func Decide(view *members.View, self model.Self, current model.InstanceID, seen Evidence) Role {
 	candidates := before(view, self)
 	if n := usable(candidates, seen.Silent); n < Readers {
-		return Role{Reader: true, Place: n, Upstream: first(candidates, seen.Silent)}
+		return Role{Reader: true, Place: n, Upstream: last(candidates, seen.Silent)}
 	}
 	ideal := parent(len(candidates))
 	unable := func(id model.InstanceID) bool { return seen.Silent(id) || seen.Busy(id) }
@@ -59,9 +62,9 @@
 	return n
 }
 
-// first returns the first usable candidate, or a member without an ID.
-func first(candidates []*model.Member, excluded Excluded) model.Member {
-	for _, m := range candidates {
+// last returns the last usable candidate, or a member without an ID.
+func last(candidates []*model.Member, excluded Excluded) model.Member {
+	for _, m := range slices.Backward(candidates) {
 		if !excluded(m.ID) {
 			return *m
 		}
