--- a/internal/service/gate/node_test.go
+++ b/internal/service/gate/node_test.go
@@ -109,6 +109,8 @@
 	address  string
 	control  *http.Server
 	stopped  chan error
+	// deaf makes the node's control address close every connection.
+	deaf atomic.Bool
 }
 
 func listen() net.Listener { return listenOn("127.0.0.1:0") }
@@ -135,7 +137,13 @@
 	n.backend = backend.New(backend.Config{URL: "http://" + n.server.address, HealthPath: "/healthz", HealthInterval: checkInterval})
 	suspects := quarantine.New(quarantine.Config{Self: self})
 	n.gate = gate.New(gate.Config{Self: self, Listener: traffic})
-	n.control = &http.Server{Handler: wire.NewExchangeServer(fakeExchange{clock: clk, suspects: suspects})}
+	exchange := wire.NewExchangeServer(fakeExchange{clock: clk, suspects: suspects})
+	n.control = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.deaf.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		exchange.ServeHTTP(w, r)
+	})}
 	go func() { _ = n.control.Serve(peers) }()
 	n.kernel = kernel.New(clk, slog.New(slog.DiscardHandler))
 	config := fakeConfig{snapshot: kernel.NewSnapshot(configurationOf(service))}
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -144,6 +144,10 @@
 		waitFor(func() bool {
 			return slices.ContainsFunc(n.gate.Stats().Suspects, func(s gate.Suspect) bool { return s.Cleared })
 		})
+	case "deaf":
+		n.deaf.Store(true)
+	case "hear":
+		n.deaf.Store(false)
 	case "ledger":
 		return s.ledger.String()
 	case "gone": // the other nodes learn that the instance is gone
