Keep a distance between suspects that run alone

Cause: a suspect that is sent often would keep all other requests from its designated server, since each one waits until the others have finished. Change: 100 ms between two of them; more are refused as not run with the delay.

--- a/internal/decision/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -78,6 +78,8 @@
 	long    int
 	// exclusiveRunning is true while an exclusive request holds a slot.
 	exclusiveRunning bool
+	// exclusiveEnd is when the last exclusive request freed its slot.
+	exclusiveEnd time.Time
 	// exclusive is the exclusive request that waits, if its ticket is not 0.
 	exclusive  Request
 	shortQueue queue
@@ -141,7 +143,7 @@
 		s.long--
 	}
 	if r.exclusive {
-		s.exclusiveRunning = false
+		s.endExclusive(now)
 	}
 	s.average(r.class).add(now.Sub(r.since))
 	return s.dispatch(now)
--- a/internal/decision/admission/dispatch.go
+++ b/internal/decision/admission/dispatch.go
@@ -6,9 +6,16 @@
 	"github.com/galenalever/galenalever/internal/model"
 )
 
+// exclusiveGap is the least time between two exclusive requests, so that many of
+// them do not keep all others from the server.
+const exclusiveGap = 100 * time.Millisecond
+
 // arriveExclusive admits one exclusive request at a time, and none while a long
 // request runs, since short work would wait until that one ends.
 func (s *State) arriveExclusive(r Request, now time.Time) Decision {
+	if next := s.exclusiveEnd.Add(exclusiveGap); now.Before(next) {
+		return refuse(r.Ticket, model.ReasonSuspect, next.Sub(now))
+	}
 	if s.exclusiveRunning || s.exclusive.Ticket != 0 || s.long > 0 {
 		return refuse(r.Ticket, model.ReasonSuspect, s.shortTime.value())
 	}
@@ -38,6 +45,11 @@
 	}
 }
 
+func (s *State) endExclusive(now time.Time) {
+	s.exclusiveRunning = false
+	s.exclusiveEnd = now
+}
+
 // finishUnused frees a slot without a sample of the service time.
 func (s *State) finishUnused(t Ticket, now time.Time) []Decision {
 	r := s.running[t]
@@ -46,7 +58,7 @@
 		s.long--
 	}
 	if r.exclusive {
-		s.exclusiveRunning = false
+		s.endExclusive(now)
 	}
 	return s.dispatch(now)
 }
