Bring the records of idempotency keys to servers that start

TestBookingsRunAtMostOnce sends bookings to any server while servers start, drain, crash and one is lost, and checks the ledger from outside. Ruled out: sending only (the new server may be asked before the records arrive).

--- a/internal/decision/dedupe/copies.go
+++ b/internal/decision/dedupe/copies.go
@@ -1,14 +1,21 @@
 package dedupe
 
 import (
+	"slices"
 	"time"
 
 	"github.com/galenalever/galenalever/internal/decision/balance"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
-// keepers is the number of members that keep a record of each idempotency key.
-const keepers = 2
+const (
+	// keepers is the number of members that keep a record of each idempotency
+	// key.
+	keepers = 2
+	// concerned is the number of members, by rank, that a record is sent to when
+	// one of them is new. It exceeds keepers, since some of them may be gone.
+	concerned = 4
+)
 
 // Runner is the gate process that runs a request.
 type Runner struct {
@@ -26,16 +33,30 @@
 // that rank highest for it among the present ones, whoever runs the request.
 // When one member comes or goes, one of the keepers stays, and it knows the key.
 func Keepers(key string, present []model.Member) []model.Member {
+	return highest(key, present, keepers)
+}
+
+// Concerns reports whether a new member must know a key. The present members may
+// include the new one.
+func Concerns(key string, m model.InstanceID, present []model.Member) bool {
+	if !slices.ContainsFunc(present, func(p model.Member) bool { return p.ID == m }) {
+		present = append(slices.Clip(present), model.Member{ID: m})
+	}
+	return slices.ContainsFunc(highest(key, present, concerned), func(p model.Member) bool { return p.ID == m })
+}
+
+// highest returns the n members that rank highest for a key.
+func highest(key string, members []model.Member, n int) []model.Member {
 	var out []model.Member
-	taken := make(map[int]bool, keepers)
-	for range keepers {
-		i := balance.Owner(key, len(present),
-			func(i int) model.InstanceID { return present[i].ID },
+	taken := make(map[int]bool, n)
+	for range n {
+		i := balance.Owner(key, len(members),
+			func(i int) model.InstanceID { return members[i].ID },
 			func(i int) bool { return taken[i] })
 		if i < 0 {
 			return out
 		}
-		out = append(out, present[i])
+		out = append(out, members[i])
 		taken[i] = true
 	}
 	return out
--- a/internal/service/gate/copies.go
+++ b/internal/service/gate/copies.go
@@ -5,20 +5,12 @@
 	"slices"
 	"time"
 
-	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/decision/dedupe"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
-const (
-	// copyTimeout bounds the wait for the keepers of an idempotency key.
-	copyTimeout = 100 * time.Millisecond
-	// handOverTimeout bounds the handing over of all records by a gate that
-	// leaves.
-	handOverTimeout = 2 * time.Second
-	// handOverBatch is the number of records in one call.
-	handOverBatch = 1000
-)
+// copyTimeout bounds the wait for the keepers of an idempotency key.
+const copyTimeout = 100 * time.Millisecond
 
 // copyKey records the key of a call at its keepers before the call runs. It
 // refuses the call if a keeper knows the key, or if no other member has recorded
@@ -27,6 +19,9 @@
 	if c.idempotencyKey == "" {
 		return nil
 	}
+	if !s.recordsKnown.Load() {
+		return notRun(model.ReasonNotReady)
+	}
 	record := dedupe.Copy{Key: dedupe.IdempotencyKey(c.Route, c.idempotencyKey), Runner: s.runner()}
 	present := s.present()
 	alone := len(present) == 1
@@ -60,30 +55,6 @@
 	s.peers.dropAt(context.WithoutCancel(c.r.Context()), s.clock, c.copies, record)
 }
 
-// handOver sends the records of this gate to the members that keep them from now
-// on.
-func (s *Service) handOver(ctx context.Context) {
-	ctx, cancel := clock.WithTimeout(ctx, s.clock, handOverTimeout)
-	defer cancel()
-	s.mu.Lock()
-	records := s.memory.Copies(s.runner())
-	s.mu.Unlock()
-	others := s.withoutSelf(s.present())
-	byAddress := make(map[string][]dedupe.Copy)
-	for _, r := range records {
-		for _, m := range dedupe.Keepers(r.Key.Value, others) {
-			byAddress[m.Addresses.Traffic] = append(byAddress[m.Addresses.Traffic], r)
-		}
-	}
-	for address, list := range byAddress {
-		for batch := range slices.Chunk(list, handOverBatch) {
-			if err := s.peers.handOver(ctx, address, batch); err != nil {
-				s.log.Warn("records of idempotency keys not handed over", "peer", address, "error", err)
-			}
-		}
-	}
-}
-
 func (s *Service) runner() dedupe.Runner {
 	return dedupe.Runner{Instance: s.self.ID, Incarnation: s.self.Incarnation}
 }
--- a/internal/service/gate/drain.go
+++ b/internal/service/gate/drain.go
@@ -45,7 +45,7 @@
 		drained = false
 		_ = s.http.Close()
 	}
-	<-s.served
+	<-s.closed
 	if !drained {
 		return eris.New("requests were running when the time to drain was over")
 	}
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -45,7 +45,7 @@
 	peers      *peerClient
 	peerServer http.Handler
 	http       *http.Server
-	served     chan struct{}
+	closed     chan struct{}
 	clock      clock.Clock
 	log        *slog.Logger
 	leaving    atomic.Bool
@@ -59,6 +59,13 @@
 	queued    map[admission.Ticket]chan admission.Decision
 	repeats   map[dedupe.Waiter]chan dedupe.Decision
 	abandoned abandoned
+
+	// Records of idempotency keys; see records.go.
+	recordsKnown atomic.Bool
+	synchronised chan struct{}
+	joined       chan model.Member
+	served       map[model.InstanceID]model.Incarnation // control state
+
 	// working counts the requests that run or are queued; idle is closed when
 	// there is none while the gate is leaving.
 	working int
@@ -72,12 +79,16 @@
 		listener:   c.Listener,
 		timestamps: c.Timestamps,
 		keepLate:   c.KeepLate,
-		served:     make(chan struct{}),
+		closed:     make(chan struct{}),
 		admission:  admission.New(admission.Limits{}),
 		memory:     dedupe.New(memoryBounds),
 		queued:     make(map[admission.Ticket]chan admission.Decision),
 		repeats:    make(map[dedupe.Waiter]chan dedupe.Decision),
 		idle:       make(chan struct{}),
+
+		synchronised: make(chan struct{}, 1),
+		joined:       make(chan model.Member, joinedCapacity),
+		served:       make(map[model.InstanceID]model.Incarnation),
 	}
 	s.peers = newPeerClient()
 	s.peerServer = wire.NewGateServer(keeper{gate: s})
@@ -129,6 +140,8 @@
 	}
 	kernel.Subscribe(c.Loop, s.handleConfigurationChanged)
 	kernel.Subscribe(c.Loop, s.handlePresenceChanged)
+	kernel.Subscribe(c.Loop, s.handleMembersChanged)
+	kernel.Subscribe(c.Loop, s.handleSynchronised)
 	s.configure()
 	return nil
 }
@@ -136,8 +149,9 @@
 // Start implements kernel.Starter.
 func (s *Service) Start(ctx context.Context) error {
 	go s.watchServer(ctx)
+	go s.exchangeRecords(ctx)
 	go func() {
-		defer close(s.served)
+		defer close(s.closed)
 		if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error("traffic listener failed", "error", err)
 		}
--- /dev/null
+++ b/internal/service/gate/history_test.go
@@ -0,0 +1,126 @@
+package gate_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed and the number of the random histories.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// exec runs one command of the scenario language.
+func (s *scenario) exec(format string, args ...any) string {
+	d := &datadriven.TestData{}
+	for i, field := range strings.Fields(fmt.Sprintf(format, args...)) {
+		name, value, hasValue := strings.Cut(field, "=")
+		switch {
+		case i == 0:
+			d.Cmd = name
+		case hasValue:
+			d.CmdArgs = append(d.CmdArgs, datadriven.CmdArg{Key: name, Vals: []string{value}})
+		default:
+			d.CmdArgs = append(d.CmdArgs, datadriven.CmdArg{Key: name})
+		}
+	}
+	answer := s.run(s.t, d)
+	s.log = append(s.log, fmt.Sprintf(format, args...)+" -> "+strings.TrimSpace(answer))
+	return answer
+}
+
+// history is a random sequence of bookings, each sent several times to any
+// server, while servers come, drain, crash and one is lost.
+type history struct {
+	*scenario
+	up    []string
+	down  map[string]bool // servers that crashed while their node lives
+	next  int
+	lost  bool
+	sends int
+	// mayHaveRun holds the keys with an answer other than not run.
+	mayHaveRun map[string]bool
+}
+
+func (h *history) start() {
+	name := fmt.Sprint("n", h.next)
+	h.next++
+	h.exec("start %s", name)
+	h.up = append(h.up, name)
+}
+
+func (h *history) remove(i int) {
+	h.exec("gone node=%s", h.up[i])
+	h.up = append(h.up[:i:i], h.up[i+1:]...)
+}
+
+func (h *history) send(t *rapid.T, node string) {
+	h.sends++
+	key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
+	path := rapid.SampledFrom([]string{"/ok", "/ok", "/drop"}).Draw(t, "path")
+	answer := h.exec("send node=%s method=POST key=%s-%s id=r%d path=%s", node, key, path[1:], h.sends, path)
+	if !strings.HasPrefix(answer, "not-run") {
+		h.mayHaveRun[key+"-"+path[1:]] = true
+	}
+}
+
+func (h *history) step(t *rapid.T) {
+	i := rapid.IntRange(0, len(h.up)-1).Draw(t, "node")
+	node := h.up[i]
+	switch event := rapid.IntRange(0, 9).Draw(t, "event"); {
+	case event == 0 && len(h.up) < 5:
+		h.start()
+	case event == 1 && len(h.up) > 2:
+		h.exec("stop node=%s", node)
+		h.exec("stopped node=%s", node)
+		h.remove(i)
+	case event == 2 && len(h.up) > 2 && !h.lost:
+		h.lost = true
+		h.exec("lose node=%s", node)
+		h.remove(i)
+	case event == 3 && !h.down[node]:
+		h.down[node] = true
+		h.exec("crash node=%s", node)
+	case event == 4 && h.down[node]:
+		h.down[node] = false
+		h.exec("restart node=%s", node)
+	default:
+		h.send(t, node)
+	}
+}
+
+// TestBookingsRunAtMostOnce checks from outside that no booking ran twice, and
+// that none ran whose sends were all refused as not run.
+func TestBookingsRunAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		h := &history{scenario: newScenario(t), down: map[string]bool{}, mayHaveRun: map[string]bool{}}
+		defer h.close()
+		h.start()
+		h.start()
+		h.start()
+		for range rapid.IntRange(5, 25).Draw(r, "steps") {
+			h.step(r)
+		}
+		runs := make(map[string]int)
+		for run, n := range h.ledger.runs {
+			key, _, _ := strings.Cut(run, " ")
+			runs[key] += n
+		}
+		for key, n := range runs {
+			if n > 1 || !h.mayHaveRun[key] {
+				r.Fatalf("%s ran %d times, answers other than not run: %v\n%s", key, n, h.mayHaveRun[key], strings.Join(h.log, "\n"))
+			}
+		}
+	})
+}
--- a/internal/service/gate/peers.go
+++ b/internal/service/gate/peers.go
@@ -83,6 +83,19 @@
 	return eris.Wrapf(err, "handing over to %s", address)
 }
 
+// recordsOf asks a gate for the records that concern an instance.
+func (p *peerClient) recordsOf(ctx context.Context, address string, instance model.InstanceID) ([]dedupe.Copy, error) {
+	answer, err := p.gateAt(address).Records(ctx, &wire.RecordsRequest{Instance: string(instance)})
+	if err != nil {
+		return nil, eris.Wrapf(err, "asking %s", address)
+	}
+	var out []dedupe.Copy
+	for _, r := range answer.GetRecords() {
+		out = append(out, decodeCopy(r))
+	}
+	return out, nil
+}
+
 func encodeCopy(c dedupe.Copy) *wire.KeyRecord {
 	return &wire.KeyRecord{
 		Route:       c.Key.Route,
@@ -122,6 +135,15 @@
 	return &wire.ForgetResponse{}, nil
 }
 
+// Records implements wire.Gate.
+func (k keeper) Records(_ context.Context, r *wire.RecordsRequest) (*wire.RecordsResponse, error) {
+	response := &wire.RecordsResponse{}
+	for _, c := range k.gate.recordsFor(model.InstanceID(r.GetInstance())) {
+		response.Records = append(response.Records, encodeCopy(c))
+	}
+	return response, nil
+}
+
 // HandOver implements wire.Gate.
 func (k keeper) HandOver(_ context.Context, r *wire.HandOverRequest) (*wire.HandOverResponse, error) {
 	for _, record := range r.GetRecords() {
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -37,6 +37,8 @@
 	nodes   map[string]*node
 	sends   map[string]*send
 	client  *http.Client
+	// log holds the commands of a random history.
+	log []string
 }
 
 // send is a request on its way.
@@ -48,12 +50,17 @@
 	upload *io.PipeWriter
 }
 
+func newScenario(t *testing.T) *scenario {
+	return &scenario{
+		t: t, clock: newTestClock(), ledger: &ledger{runs: map[string]int{}},
+		members: &memberList{}, nodes: map[string]*node{}, sends: map[string]*send{},
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, // never replays
+	}
+}
+
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		s := &scenario{
-			t: t, clock: newTestClock(), ledger: &ledger{runs: map[string]int{}},
-			members: &memberList{}, nodes: map[string]*node{}, sends: map[string]*send{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, // never replays
-		}
+		s := newScenario(t)
 		t.Cleanup(s.close)
 		datadriven.RunTest(t, path, s.run)
 	})
--- a/internal/service/gate/stats.go
+++ b/internal/service/gate/stats.go
@@ -97,9 +97,11 @@
 	Queued   int `json:"queued"`
 	Slots    int `json:"slots"`
 	// Remembered counts the requests that are protected from running again.
-	Remembered int       `json:"remembered"`
-	Leaving    bool      `json:"leaving"`
-	Suspects   []Suspect `json:"suspects,omitempty"`
+	Remembered int `json:"remembered"`
+	// RecordsKnown means that requests with idempotency keys may run here.
+	RecordsKnown bool      `json:"records_known"`
+	Leaving      bool      `json:"leaving"`
+	Suspects     []Suspect `json:"suspects,omitempty"`
 }
 
 // Suspect is a request that was running when a server crashed.
@@ -125,9 +127,10 @@
 	return Stats{
 		Answered: t.answered, Replayed: t.replayed, Refused: t.refused,
 		InFlight: load.InFlight, Queued: load.Queued, Slots: load.Slots,
-		Remembered: remembered,
-		Leaving:    s.leaving.Load(),
-		Suspects:   listSuspects(s.partners.suspects.Suspects().Load(), now),
+		Remembered:   remembered,
+		RecordsKnown: s.recordsKnown.Load(),
+		Leaving:      s.leaving.Load(),
+		Suspects:     listSuspects(s.partners.suspects.Suspects().Load(), now),
 	}
 }
 
--- a/internal/wire/wire.gate.twirp.go
+++ b/internal/wire/wire.gate.twirp.go
@@ -34,7 +34,11 @@
 	// Forget drops the copy of a request that was not run.
 	Forget(context.Context, *ForgetRequest) (*ForgetResponse, error)
 
-	// HandOver keeps the copies that a leaving gate held.
+	// Records returns the copies that concern a gate which has just started.
+	Records(context.Context, *RecordsRequest) (*RecordsResponse, error)
+
+	// HandOver keeps copies that concern the gate: from one that leaves, or
+	// because the gate was not known before.
 	HandOver(context.Context, *HandOverRequest) (*HandOverResponse, error)
 }
 
@@ -44,7 +48,7 @@
 
 type gateProtobufClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -72,9 +76,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "galenalever.wire", "Gate")
-	urls := [3]string{
+	urls := [4]string{
 		serviceURL + "Remember",
 		serviceURL + "Forget",
+		serviceURL + "Records",
 		serviceURL + "HandOver",
 	}
 
@@ -178,6 +183,52 @@
 	return out, nil
 }
 
+func (c *gateProtobufClient) Records(ctx context.Context, in *RecordsRequest) (*RecordsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "galenalever.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Gate")
+	ctx = ctxsetters.WithMethodName(ctx, "Records")
+	caller := c.callRecords
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RecordsRequest) (*RecordsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecordsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecordsRequest) when calling interceptor")
+					}
+					return c.callRecords(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecordsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecordsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *gateProtobufClient) callRecords(ctx context.Context, in *RecordsRequest) (*RecordsResponse, error) {
+	out := new(RecordsResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *gateProtobufClient) HandOver(ctx context.Context, in *HandOverRequest) (*HandOverResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "galenalever.wire")
 	ctx = ctxsetters.WithServiceName(ctx, "Gate")
@@ -209,7 +260,7 @@
 
 func (c *gateProtobufClient) callHandOver(ctx context.Context, in *HandOverRequest) (*HandOverResponse, error) {
 	out := new(HandOverResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -230,7 +281,7 @@
 
 type gateJSONClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -258,9 +309,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "galenalever.wire", "Gate")
-	urls := [3]string{
+	urls := [4]string{
 		serviceURL + "Remember",
 		serviceURL + "Forget",
+		serviceURL + "Records",
 		serviceURL + "HandOver",
 	}
 
@@ -364,6 +416,52 @@
 	return out, nil
 }
 
+func (c *gateJSONClient) Records(ctx context.Context, in *RecordsRequest) (*RecordsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "galenalever.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Gate")
+	ctx = ctxsetters.WithMethodName(ctx, "Records")
+	caller := c.callRecords
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RecordsRequest) (*RecordsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecordsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecordsRequest) when calling interceptor")
+					}
+					return c.callRecords(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecordsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecordsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *gateJSONClient) callRecords(ctx context.Context, in *RecordsRequest) (*RecordsResponse, error) {
+	out := new(RecordsResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *gateJSONClient) HandOver(ctx context.Context, in *HandOverRequest) (*HandOverResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "galenalever.wire")
 	ctx = ctxsetters.WithServiceName(ctx, "Gate")
@@ -395,7 +493,7 @@
 
 func (c *gateJSONClient) callHandOver(ctx context.Context, in *HandOverRequest) (*HandOverResponse, error) {
 	out := new(HandOverResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -513,6 +611,9 @@
 	case "Forget":
 		s.serveForget(ctx, resp, req)
 		return
+	case "Records":
+		s.serveRecords(ctx, resp, req)
+		return
 	case "HandOver":
 		s.serveHandOver(ctx, resp, req)
 		return
@@ -883,6 +984,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *gateServer) serveRecords(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveRecordsJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveRecordsProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *gateServer) serveRecordsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Records")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(RecordsRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Gate.Records
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RecordsRequest) (*RecordsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecordsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecordsRequest) when calling interceptor")
+					}
+					return s.Gate.Records(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecordsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecordsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *RecordsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RecordsResponse and nil error while calling Records. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *gateServer) serveRecordsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Records")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(RecordsRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Gate.Records
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RecordsRequest) (*RecordsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecordsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecordsRequest) when calling interceptor")
+					}
+					return s.Gate.Records(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecordsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecordsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *RecordsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RecordsResponse and nil error while calling Records. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *gateServer) serveHandOver(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -1079,26 +1360,29 @@
 }
 
 var twirpFileDescriptor1 = []byte{
-	// 336 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x92, 0x4f, 0x4f, 0xc2, 0x40,
-	0x10, 0xc5, 0x53, 0xc1, 0x0a, 0x43, 0x94, 0x66, 0x63, 0x4c, 0x83, 0x07, 0xeb, 0x9e, 0x38, 0x15,
-	0x03, 0xf1, 0x0b, 0x18, 0x83, 0x24, 0x1c, 0x0c, 0x7b, 0xf4, 0xb6, 0xc0, 0xa4, 0x36, 0xd0, 0x5d,
-	0x9c, 0x6e, 0x21, 0x7c, 0x74, 0x6f, 0xa6, 0xff, 0x04, 0x0a, 0xea, 0xc1, 0xdb, 0xce, 0xf4, 0xe5,
-	0x37, 0xef, 0xbd, 0x14, 0xda, 0x9b, 0x90, 0xd0, 0x0f, 0xa4, 0x41, 0x7f, 0x45, 0xda, 0x68, 0xe6,
-	0x04, 0x72, 0x89, 0x4a, 0x2e, 0x71, 0x8d, 0xe4, 0xa7, 0x1f, 0x79, 0x04, 0xcd, 0x31, 0x6e, 0x05,
-	0xce, 0x34, 0xcd, 0xd9, 0x35, 0x9c, 0x93, 0x4e, 0x0c, 0xba, 0x96, 0x67, 0x75, 0x9b, 0x22, 0x1f,
-	0x98, 0x03, 0xb5, 0x05, 0x6e, 0xdd, 0xb3, 0x6c, 0x97, 0x3e, 0xd9, 0x0d, 0xd8, 0x94, 0x28, 0x85,
-	0xe4, 0xd6, 0xb2, 0x65, 0x31, 0x31, 0x0f, 0x5a, 0xa1, 0x9a, 0x49, 0x52, 0xd2, 0x84, 0x5a, 0xb9,
-	0x75, 0xcf, 0xea, 0xd6, 0xc5, 0xfe, 0x8a, 0x0f, 0xa1, 0x2d, 0x30, 0xc2, 0x68, 0x8a, 0x24, 0xf0,
-	0x23, 0xc1, 0xd8, 0xb0, 0x01, 0xd8, 0x94, 0x9d, 0xcf, 0xae, 0xb6, 0xfa, 0xb7, 0x7e, 0xd5, 0xa4,
-	0xff, 0xed, 0x50, 0x14, 0x52, 0xde, 0x05, 0x67, 0xc7, 0x89, 0x57, 0x5a, 0xc5, 0x98, 0xba, 0x5f,
-	0x28, 0xbd, 0x51, 0x19, 0xa7, 0x21, 0xf2, 0x81, 0x3f, 0xc3, 0xe5, 0x50, 0x53, 0x80, 0xe6, 0x5f,
-	0xf7, 0x1c, 0xb8, 0x2a, 0x29, 0xf9, 0x35, 0x3e, 0x82, 0xf6, 0x48, 0xaa, 0xf9, 0xeb, 0x7a, 0x97,
-	0xe4, 0x11, 0x2e, 0x72, 0x79, 0xec, 0x5a, 0x5e, 0xed, 0x2f, 0x74, 0xa9, 0xe5, 0x0c, 0x9c, 0x1d,
-	0x29, 0xa7, 0xf7, 0x3f, 0x2d, 0xa8, 0xbf, 0x48, 0x83, 0x6c, 0x02, 0x8d, 0x32, 0x28, 0xbb, 0x3f,
-	0xc6, 0x55, 0xca, 0xec, 0xf0, 0xdf, 0x24, 0x45, 0x4f, 0x63, 0xb0, 0xf3, 0x2c, 0xec, 0xee, 0x58,
-	0x7d, 0xd0, 0x55, 0xc7, 0xfb, 0x59, 0x50, 0xc0, 0x26, 0xd0, 0x28, 0xcd, 0x9f, 0xf2, 0x57, 0xa9,
-	0xe8, 0x94, 0xbf, 0x6a, 0xf6, 0xa7, 0xfe, 0xdb, 0x43, 0x10, 0x9a, 0xf7, 0x64, 0xea, 0xcf, 0x74,
-	0xd4, 0xdb, 0xd3, 0x1f, 0xbc, 0x43, 0x65, 0x90, 0x94, 0x5c, 0xf6, 0x52, 0xc8, 0xd4, 0xce, 0xfe,
-	0xef, 0xc1, 0x57, 0x00, 0x00, 0x00, 0xff, 0xff, 0xd7, 0xe9, 0x75, 0xca, 0xf2, 0x02, 0x00, 0x00,
+	// 384 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x93, 0xdf, 0x6a, 0xea, 0x40,
+	0x10, 0xc6, 0x89, 0x7a, 0x62, 0x1c, 0x39, 0x1a, 0x96, 0xc3, 0x21, 0xe4, 0x5c, 0x9c, 0x98, 0x2b,
+	0x2f, 0x4a, 0x2c, 0x4a, 0x5f, 0xa0, 0x14, 0x2b, 0x08, 0x2d, 0xe6, 0xb2, 0x77, 0x6b, 0x1c, 0xd2,
+	0xa0, 0xd9, 0xb5, 0x9b, 0x8d, 0xe2, 0x23, 0xf6, 0xad, 0x4a, 0x92, 0x8d, 0x7f, 0xa2, 0xb5, 0xd0,
+	0xde, 0xed, 0x4c, 0x3e, 0x7e, 0xf3, 0xcd, 0x37, 0x04, 0xba, 0xdb, 0x48, 0xa0, 0x17, 0x52, 0x89,
+	0xde, 0x5a, 0x70, 0xc9, 0x89, 0x19, 0xd2, 0x15, 0x32, 0xba, 0xc2, 0x0d, 0x0a, 0x2f, 0xfb, 0xe8,
+	0xc6, 0xd0, 0x9a, 0xe2, 0xce, 0xc7, 0x80, 0x8b, 0x05, 0xf9, 0x03, 0xbf, 0x04, 0x4f, 0x25, 0x5a,
+	0x9a, 0xa3, 0xf5, 0x5b, 0x7e, 0x51, 0x10, 0x13, 0xea, 0x4b, 0xdc, 0x59, 0xb5, 0xbc, 0x97, 0x3d,
+	0xc9, 0x5f, 0xd0, 0x45, 0xca, 0x18, 0x0a, 0xab, 0x9e, 0x37, 0x55, 0x45, 0x1c, 0x68, 0x47, 0x2c,
+	0xa0, 0x82, 0x51, 0x19, 0x71, 0x66, 0x35, 0x1c, 0xad, 0xdf, 0xf0, 0x8f, 0x5b, 0xee, 0x18, 0xba,
+	0x3e, 0xc6, 0x18, 0xcf, 0x51, 0xf8, 0xf8, 0x96, 0x62, 0x22, 0xc9, 0x08, 0x74, 0x91, 0x8f, 0xcf,
+	0xa7, 0xb6, 0x87, 0xff, 0xbc, 0xaa, 0x49, 0x6f, 0xef, 0xd0, 0x57, 0x52, 0xb7, 0x0f, 0xe6, 0x81,
+	0x93, 0xac, 0x39, 0x4b, 0x30, 0x73, 0xbf, 0x64, 0x7c, 0xcb, 0x72, 0x8e, 0xe1, 0x17, 0x85, 0xfb,
+	0x00, 0xbf, 0xc7, 0x5c, 0x84, 0x28, 0x7f, 0x34, 0xcf, 0x84, 0x4e, 0x49, 0x29, 0xa6, 0xb9, 0x37,
+	0xd0, 0x29, 0x34, 0x49, 0x09, 0xb6, 0xc1, 0x88, 0x58, 0x22, 0x29, 0x0b, 0xca, 0x00, 0xf7, 0xb5,
+	0x3b, 0xc9, 0xf6, 0x56, 0x6a, 0x65, 0xf7, 0x0e, 0x9a, 0x05, 0x3c, 0xb1, 0x34, 0xa7, 0xfe, 0x95,
+	0x91, 0x52, 0x9b, 0x91, 0x26, 0x94, 0x2d, 0x9e, 0x37, 0x87, 0x04, 0xbf, 0x49, 0x22, 0x60, 0x1e,
+	0x48, 0x85, 0xa9, 0xe1, 0x7b, 0x0d, 0x1a, 0x8f, 0x54, 0x22, 0x99, 0x81, 0x51, 0x06, 0x4c, 0x7a,
+	0xe7, 0xb8, 0xca, 0x11, 0x6d, 0xf7, 0x9a, 0x44, 0x2d, 0x3c, 0x05, 0xbd, 0xc8, 0x90, 0xfc, 0x3f,
+	0x57, 0x9f, 0xdc, 0xc8, 0x76, 0x3e, 0x17, 0x28, 0xd8, 0x13, 0x34, 0x55, 0xa0, 0xc4, 0xb9, 0x34,
+	0xfb, 0xf8, 0x32, 0x76, 0xef, 0x8a, 0x42, 0xf1, 0x66, 0x60, 0x94, 0x61, 0x5c, 0xda, 0xb7, 0x12,
+	0xf9, 0xa5, 0x7d, 0xab, 0x59, 0xde, 0x0f, 0x5f, 0x6e, 0xc3, 0x48, 0xbe, 0xa6, 0x73, 0x2f, 0xe0,
+	0xf1, 0xe0, 0x48, 0x7f, 0xf2, 0x8e, 0x98, 0x44, 0xc1, 0xe8, 0x6a, 0x90, 0x41, 0xe6, 0x7a, 0xfe,
+	0x9f, 0x8e, 0x3e, 0x02, 0x00, 0x00, 0xff, 0xff, 0xc8, 0xe3, 0x54, 0x0d, 0xba, 0x03, 0x00, 0x00,
 }
