Check the gate for leaked goroutines; bound calls of other gates; measure keyed requests

Change: connections closed at the stop, calls bounded to 4 MiB, goleak at the end of the gate's tests (it found held handlers of the stand-in server, which now end with the test).

--- a/internal/service/gate/benchmark_test.go
+++ b/internal/service/gate/benchmark_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -15,8 +16,8 @@
 // and one more hop.
 func BenchmarkRequest(b *testing.B) {
 	service := &model.Service{Name: serviceName, Slots: 6, LongSlots: 2, Queue: 32}
-	clk := newTestClock()
-	n := startNode("a", clk, &ledger{runs: map[string]int{}}, &memberList{}, service)
+	clk, members := newTestClock(), &memberList{}
+	n := startNode("a", clk, &ledger{runs: map[string]int{}}, members, service)
 	fast := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "available")
 	})}
@@ -28,18 +29,29 @@
 	waitFor(n.backend.Available)
 	clk.checksOff.Store(true)
 	for _, target := range []struct{ name, address string }{{"direct", n.server.address}, {"gate", n.address}} {
-		b.Run(target.name, func(b *testing.B) { request(b, target.address) })
+		b.Run(target.name, func(b *testing.B) { request(b, target.address, http.MethodGet) })
 	}
+	startNode("b", clk, &ledger{runs: map[string]int{}}, members, service)
+	startNode("c", clk, &ledger{runs: map[string]int{}}, members, service)
+	b.Run("gate-with-key", func(b *testing.B) { request(b, n.address, http.MethodPost) })
 }
 
-func request(b *testing.B, address string) {
+// request sends GET requests, or POST requests with an idempotency key.
+func request(b *testing.B, address, method string) {
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	b.ReportAllocs()
-	for b.Loop() {
-		r, err := http.NewRequest(http.MethodGet, "http://"+address+"/units?free=true", nil)
+	for i := 0; b.Loop(); i++ {
+		r, err := http.NewRequest(method, "http://"+address+"/units?free=true", nil)
 		must(err)
-		hop.Request{ID: "r", Service: serviceName, Class: model.ClassShort, Idempotent: true, Attempt: 1, Timeout: time.Minute}.Encode(r.Header)
+		id := fmt.Sprint(address, b.N, i)
+		if method == http.MethodPost {
+			r.Header.Set("Idempotency-Key", id)
+		}
+		hop.Request{
+			ID: model.RequestID(id), Service: serviceName, Class: model.ClassShort,
+			Idempotent: method == http.MethodGet, Attempt: 1, Timeout: time.Minute,
+		}.Encode(r.Header)
 		response, err := client.Do(r)
 		must(err)
 		_, _ = io.Copy(io.Discard, response.Body)
--- a/internal/service/gate/drain.go
+++ b/internal/service/gate/drain.go
@@ -46,6 +46,7 @@
 		_ = s.http.Close()
 	}
 	<-s.closed
+	s.peers.http.CloseIdleConnections()
 	if !drained {
 		return eris.New("requests were running when the time to drain was over")
 	}
--- a/internal/service/gate/history_test.go
+++ b/internal/service/gate/history_test.go
@@ -3,22 +3,23 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 )
 
-// TestMain fixes the seed and the number of the random histories.
+// TestMain fixes the seed and the number of the random histories, and fails if a
+// goroutine is left at the end.
 func TestMain(m *testing.M) {
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "30", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
 	}
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
 
 // exec runs one command of the scenario language.
--- a/internal/service/gate/peers.go
+++ b/internal/service/gate/peers.go
@@ -20,6 +20,8 @@
 	peerIdle = 30 * time.Second
 	// peerConnections bounds the connections to one gate.
 	peerConnections = 8
+	// maxPeerCall bounds a call of another gate, in bytes.
+	maxPeerCall = 4 << 20
 )
 
 // peerClient calls other gates.
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -69,6 +69,7 @@
 func (s *scenario) close() {
 	s.client.CloseIdleConnections()
 	for _, n := range s.nodes {
+		close(n.server.quit)
 		_ = n.server.http.Close()
 		_ = n.control.Close()
 		ctx, cancel := context.WithCancel(context.Background())
@@ -161,6 +162,7 @@
 		s.members.remove(to)
 	case "lose": // the instance ends without a word: node and server
 		_ = n.server.http.Close()
+		_ = n.control.Close()
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		_ = n.kernel.Stop(ctx)
--- a/internal/service/gate/serve.go
+++ b/internal/service/gate/serve.go
@@ -18,6 +18,7 @@
 	request, ok := hop.DecodeRequest(r.Header)
 	switch {
 	case !ok && strings.HasPrefix(r.URL.Path, wire.GatePathPrefix):
+		r.Body = http.MaxBytesReader(w, r.Body, maxPeerCall)
 		s.peerServer.ServeHTTP(w, r)
 		return
 	case !ok:
--- a/internal/service/gate/server_test.go
+++ b/internal/service/gate/server_test.go
@@ -45,10 +45,12 @@
 	mu      sync.Mutex
 	arrived map[string]chan struct{}
 	held    map[string]chan struct{}
+	// quit ends the held requests at the end of a test.
+	quit chan struct{}
 }
 
 func newBackendServer(name string, l *ledger) *backendServer {
-	b := &backendServer{name: name, ledger: l, address: "127.0.0.1:0", arrived: map[string]chan struct{}{}, held: map[string]chan struct{}{}}
+	b := &backendServer{name: name, ledger: l, address: "127.0.0.1:0", arrived: map[string]chan struct{}{}, held: map[string]chan struct{}{}, quit: make(chan struct{})}
 	b.start()
 	return b
 }
@@ -100,6 +102,8 @@
 		case <-b.signal(b.held, id):
 		case <-r.Context().Done():
 			return
+		case <-b.quit:
+			return
 		}
 	case "/kill":
 		b.crash()
