--- a/internal/service/ingress/bench_test.go
+++ b/internal/service/ingress/bench_test.go
@@ -1,23 +1,14 @@
 package ingress_test
 
 import (
-	"context"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"testing"
 
-	"github.com/uber-go/tally/v4"
-
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/hop"
-	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
-	"github.com/galenalever/galenalever/internal/service/balancer"
-	"github.com/galenalever/galenalever/internal/service/forward"
-	"github.com/galenalever/galenalever/internal/service/ingress"
-	"github.com/galenalever/galenalever/internal/service/routing"
 )
 
 // quickGate answers at once, as the gate beside a server that takes no time.
@@ -40,7 +31,7 @@
 	b.Cleanup(func() { _ = server.Close() })
 	node := benchNode(b, listener.Addr().String())
 	b.Run("direct", func(b *testing.B) { benchCalls(b, "http://"+listener.Addr().String()+"/read") })
-	b.Run("through one node", func(b *testing.B) { benchCalls(b, "http://"+node+"/read") })
+	b.Run("through one node", func(b *testing.B) { benchCalls(b, node+"/read") })
 }
 
 func benchCalls(b *testing.B, url string) {
@@ -57,37 +48,20 @@
 	client.CloseIdleConnections()
 }
 
-// benchNode starts a caller's node on the system clock and returns its address.
+// benchNode starts a caller's node on the system clock and returns its URL.
 func benchNode(b *testing.B, gate string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
+	m := newMesh(b)
+	m.clock = clock.System{}
 	service := &model.Service{Name: "shop/catalog", Slots: 6, Queue: 12}
-	tree := &model.Tree{
-		Services: map[model.ServiceName]*model.Service{service.Name: service},
-		Routes:   []*model.Route{{Team: "shop", Name: "read", PathPrefix: "/read", Service: service.Name, Idempotent: true}},
-	}
-	members := &fakeMembership{members: []model.Member{{
+	m.tree.Services[service.Name] = service
+	m.tree.Routes = []*model.Route{{
+		Team: "shop", Name: "read", PathPrefix: "/read", Service: service.Name, Idempotent: true,
+	}}
+	m.membership.members = []model.Member{{
 		ID: "a", Service: service.Name, Domain: "jkt", Addresses: model.Addresses{Traffic: gate},
 		Announced: model.Announcement{Incarnation: 7, Presence: model.PresenceReady},
-	}}}
-	config := &fakeConfig{snapshot: kernel.NewSnapshot(&model.Configuration{Tree: tree})}
-	self := model.Self{ID: "caller", Domain: "jkt", Incarnation: 1}
-	k := kernel.New(clock.System{}, slog.New(slog.DiscardHandler))
-	err = k.Register(
-		&fakeTimeline{}, &fakeMetrics{scope: tally.NewTestScope("", nil)}, &fakeWatchdog{}, config, members,
-		routing.New(), balancer.New(balancer.Config{Self: self}), forward.New(forward.Config{}),
-		ingress.New(ingress.Config{Self: self, Listener: listener}),
-	)
-	if err != nil {
-		b.Fatal(err)
-	}
-	if err := k.Start(context.Background()); err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() { _ = k.Stop(context.Background()) })
-	m := &mesh{t: b, kernel: k, config: config, tree: tree}
+	}}
+	m.start(0)
 	m.publish()
-	return listener.Addr().String()
+	return m.url
 }
