--- a/internal/standin/mesh/observer.go
+++ b/internal/standin/mesh/observer.go
@@ -31,7 +31,7 @@
 	client *status.Client
 
 	mu         sync.Mutex
-	last       map[string]status.Version
+	last       map[string]status.Report
 	forbidden  map[keyRevision]bool
 	samples    int
 	violations []string
@@ -48,7 +48,7 @@
 	return &Observer{
 		mesh:   m,
 		client: status.NewClient(sampleTimeout),
-		last:   make(map[string]status.Version),
+		last:   make(map[string]status.Report),
 
 		forbidden: make(map[keyRevision]bool),
 	}
@@ -135,7 +135,7 @@
 		if report.Version.Cut == 0 {
 			continue // a fresh process that has no configuration yet
 		}
-		faults := older(o.last[id], report.Version)
+		faults := older(o.last[id], report)
 		for key, revision := range report.Version.Running {
 			if o.forbidden[keyRevision{key, revision}] {
 				faults = append(faults, fmt.Sprintf("%s runs at bad version %d", key, revision))
@@ -144,7 +144,7 @@
 		for _, fault := range faults {
 			o.violations = append(o.violations, describe(report, fault))
 		}
-		o.last[id] = report.Version
+		o.last[id] = report
 	}
 }
 
@@ -154,15 +154,20 @@
 		time.Now().UTC().Format("15:04:05.000"), fault, r.Version.Cut, r.Upstream(), r.Version.HeldText())
 }
 
-// older tells in which respects a version is older than the one before.
-func older(before, now status.Version) []string {
+// older tells in which respects a node's version is older than the one before,
+// and whether that was in the same process.
+func older(before, now status.Report) []string {
+	since := "in the same process"
+	if before.Incarnation != now.Incarnation {
+		since = "before its restart"
+	}
 	var faults []string
-	if now.Cut < before.Cut {
-		faults = append(faults, fmt.Sprintf("cut %d after %d", now.Cut, before.Cut))
+	if now.Version.Cut < before.Version.Cut {
+		faults = append(faults, fmt.Sprintf("cut %d after %d %s", now.Version.Cut, before.Version.Cut, since))
 	}
-	for key, revision := range before.Running {
-		if now.Running[key] < revision {
-			faults = append(faults, fmt.Sprintf("%s at %d after %d", key, now.Running[key], revision))
+	for key, revision := range before.Version.Running {
+		if running := now.Version.Running[key]; running < revision {
+			faults = append(faults, fmt.Sprintf("%s at %d after %d %s", key, running, revision, since))
 		}
 	}
 	return faults
