--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -118,6 +118,7 @@
 	if err := r.mesh.Start(ctx); err != nil {
 		return err
 	}
+	fmt.Fprintf(r.Out, "meanwhile: galenactl status --all --node %s\n", r.mesh.Nodes[0].Addresses().Operator)
 	reports, err := r.observer.Await(ctx, both(
 		r.mesh.AllReady(),
 		r.mesh.AllRun(model.TeamKey("katalog"), 1),
