Send undelivered announcements to their own target only, with backoff

A record that one target did not take went to all targets again every 500 ms, for as long as a listed failure domain was dead. Ruled out: empty polls; their answers have another size.

--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -56,6 +56,10 @@
 		s.setParted(d, false)
 	case "platform":
 		s.setPlatform(d)
+	case "ghosts":
+		s.listGhosts(d)
+	case "announcements":
+		return s.announcements(d)
 	case "leave":
 		return s.leave(d)
 	case "converged":
@@ -184,6 +188,28 @@
 	p.notify()
 }
 
+// listGhosts lists instances of a further failure domain whose nodes never run.
+func (s *script) listGhosts(d *datadriven.TestData) {
+	var count int
+	var domain string
+	d.ScanArgs(s.t, "count", &count)
+	d.ScanArgs(s.t, "domain", &domain)
+	s.mesh.mu.Lock()
+	defer s.mesh.mu.Unlock()
+	for i := range count {
+		s.mesh.list(identity(1000+i, model.FailureDomain(domain)))
+	}
+	s.mesh.platform.notify()
+}
+
+// announcements counts the announcements sent during a time.
+func (s *script) announcements(d *datadriven.TestData) string {
+	s.mesh.announced.Store(0)
+	s.mesh.advance(duration(s.t, d, "during"))
+	s.t.Logf("%s: %d announcements", d.Pos, s.mesh.announced.Load())
+	return fmt.Sprintf("fewer than nodes: %t", s.mesh.announced.Load() < int64(len(s.mesh.nodes)))
+}
+
 func (s *script) leave(d *datadriven.TestData) string {
 	var id string
 	d.ScanArgs(s.t, "instance", &id)
--- a/internal/distribution/mesh_test.go
+++ b/internal/distribution/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing/synctest"
 	"time"
 
@@ -32,9 +33,10 @@
 	// process.
 	last     map[model.InstanceID]map[model.Key]model.Revision
 	reverted []string
-	bytes    uint64
-	perNode  map[model.InstanceID]uint64
-	lives    uint64
+	// announced counts the announcements of all nodes.
+	announced atomic.Int64
+	perNode   map[model.InstanceID]uint64
+	lives     uint64
 }
 
 func newMesh(domains []model.FailureDomain, limit int) *mesh {
@@ -59,11 +61,7 @@
 		if i < len(m.domains) {
 			m.seeds = append(m.seeds, self.Addresses.Control)
 		}
-		m.platform.listed++
-		listed := self.Member(model.PresenceUnknown)
-		listed.Announced = model.Announcement{}
-		listed.Listed, listed.ListedAt = model.ListingLive, m.platform.listed
-		m.platform.instances = append(m.platform.instances, listed)
+		m.list(self)
 		m.nodes = append(m.nodes, newNode(self))
 	}
 	for i := range m.nodes {
@@ -71,6 +69,15 @@
 	}
 }
 
+// list adds an instance to the platform's list.
+func (m *mesh) list(self model.Self) {
+	m.platform.listed++
+	listed := self.Member(model.PresenceUnknown)
+	listed.Announced = model.Announcement{}
+	listed.Listed, listed.ListedAt = model.ListingLive, m.platform.listed
+	m.platform.instances = append(m.platform.instances, listed)
+}
+
 func identity(i int, domain model.FailureDomain) model.Self {
 	id := fmt.Sprintf("node-%03d", i)
 	return model.Self{
@@ -129,7 +136,6 @@
 func (m *mesh) countBytes(a, b *node, n int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.bytes += uint64(n)
 	m.perNode[a.self.ID] += uint64(n)
 	m.perNode[b.self.ID] += uint64(n)
 }
--- a/internal/distribution/network_test.go
+++ b/internal/distribution/network_test.go
@@ -43,6 +43,7 @@
 
 // Announce implements wire.Exchange.
 func (l *link) Announce(ctx context.Context, r *wire.AnnounceRequest) (*wire.AnnounceResponse, error) {
+	l.mesh.announced.Add(1)
 	return call(ctx, l, r, func(ctx context.Context, to *node) (*wire.AnnounceResponse, error) {
 		return to.exchange.Announce(ctx, r)
 	})
--- a/internal/service/exchange/outbox.go
+++ b/internal/service/exchange/outbox.go
@@ -40,6 +40,8 @@
 type parcel struct {
 	candidates []model.Member
 	records    map[model.InstanceID]model.Member
+	// attempt is the least attempt of the records.
+	attempt int
 }
 
 func newOutbox(s *Service) *outbox {
@@ -54,7 +56,7 @@
 }
 
 // add queues a record. It does not block, so the control loop may call it.
-func (o *outbox) add(target rank.Target, record model.Member) {
+func (o *outbox) add(target rank.Target, attempt int, record model.Member) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.ctx == nil || o.closed {
@@ -62,10 +64,11 @@
 	}
 	p := o.waiting[target.Name]
 	if p == nil {
-		p = &parcel{records: make(map[model.InstanceID]model.Member)}
+		p = &parcel{records: make(map[model.InstanceID]model.Member), attempt: attempt}
 		o.waiting[target.Name] = p
 	}
 	p.candidates = target.Candidates
+	p.attempt = min(p.attempt, attempt)
 	p.records[record.ID] = record
 	if !o.busy[target.Name] {
 		o.busy[target.Name] = true
@@ -81,7 +84,7 @@
 		if p == nil {
 			return
 		}
-		o.deliver(p)
+		o.deliver(name, p)
 	}
 }
 
@@ -98,9 +101,9 @@
 
 // deliver tries the candidates in turn. If none takes the parcel, the control
 // loop decides what to do.
-func (o *outbox) deliver(p *parcel) {
+func (o *outbox) deliver(target string, p *parcel) {
 	s := o.service
-	failed := undelivered{}
+	failed := undelivered{target: target, attempt: p.attempt}
 	for _, record := range p.records {
 		failed.members = append(failed.members, record)
 	}
--- a/internal/service/exchange/planner.go
+++ b/internal/service/exchange/planner.go
@@ -90,6 +90,7 @@
 	kernel.Subscribe(loop, s.handlePollFailed)
 	kernel.Subscribe(loop, s.handleAnnounced)
 	kernel.Subscribe(loop, s.handleUndelivered)
+	kernel.Subscribe(loop, s.handleResend)
 	kernel.Subscribe(loop, func(reannounce) { s.handleReannounce() })
 }
 
