--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -24,7 +24,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
 			s := &script{t: t, rng: rand.New(rand.NewPCG(1, 2))}
-			defer func() { s.mesh.stopAll() }()
+			defer s.stop()
 			datadriven.RunTest(t, path, s.run)
 		})
 	})
@@ -76,6 +76,13 @@
 	return ""
 }
 
+// stop ends all nodes, since a bubble must not be left with goroutines.
+func (s *script) stop() {
+	if s.mesh != nil {
+		s.mesh.stopAll()
+	}
+}
+
 func duration(t *testing.T, d *datadriven.TestData, key string) time.Duration {
 	var text string
 	d.ScanArgs(t, key, &text)
