--- a/internal/service/exchange/exchange.go
+++ b/internal/service/exchange/exchange.go
@@ -81,6 +81,7 @@
 	server    *http.Server
 	bytes     byteCounters
 	cursors   *cursors
+	offers    offers
 	outbox    *outbox
 	transfers slots
 	polls     slots
--- a/internal/service/exchange/server.go
+++ b/internal/service/exchange/server.go
@@ -88,7 +88,6 @@
 	over := make(chan struct{})
 	timer := s.clock.AfterFunc(q.wait, func() { close(over) })
 	defer timer.Stop()
-	begin := s.states.Load()
 	for {
 		state, stateChanged := s.states.Watch()
 		view, viewChanged := s.members.Watch()
@@ -96,18 +95,18 @@
 		if state == nil || state.Cut.Revision == 0 {
 			return s.refusal(q.from), nil
 		}
-		news := hasNews(state, view, q) || offersRunning(begin, state, q)
+		news := hasNews(state, view, q) || s.owesOffer(state, q)
 		if q.wait <= 0 || (news && s.watchdog.Fresh()) {
-			return s.answer(begin, state, view, q), nil
+			return s.answer(state, view, q), nil
 		}
 		select {
 		case <-stateChanged:
 		case <-viewChanged:
 		case <-synchronised:
 		case <-over:
-			return s.answer(begin, s.states.Load(), s.members.Load(), q), nil
+			return s.answer(s.states.Load(), s.members.Load(), q), nil
 		case <-s.stopping:
-			return s.answer(begin, state, view, q), nil
+			return s.answer(state, view, q), nil
 		case <-ctx.Done():
 			return nil, twirp.NewError(twirp.Canceled, ctx.Err().Error())
 		}
@@ -122,11 +121,10 @@
 	return view.Cursor() != q.cursor
 }
 
-// answer tells the caller what it lacks. Begin is the configuration at the time
-// when the poll arrived.
-func (s *Service) answer(begin, state *model.Configuration, view *members.View, q query) *wire.PollResponse {
+// answer tells the caller what it lacks.
+func (s *Service) answer(state *model.Configuration, view *members.View, q query) *wire.PollResponse {
 	response := &wire.PollResponse{Time: uint64(s.timeline.Clock().Now())}
-	wireconv.SetDelta(response, configurationDelta(begin, state, q))
+	wireconv.SetDelta(response, s.configurationDelta(state, q))
 	s.addMembers(response, view, q)
 	return response
 }
