--- a/internal/service/gate/drain.go
+++ b/internal/service/gate/drain.go
@@ -45,7 +45,8 @@
 		drained = false
 		_ = s.http.Close()
 	}
-	<-s.served
+	<-s.closed
+	s.peers.http.CloseIdleConnections()
 	if !drained {
 		return eris.New("requests were running when the time to drain was over")
 	}
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -37,6 +37,8 @@
 	nodes   map[string]*node
 	sends   map[string]*send
 	client  *http.Client
+	// log holds the commands of a random history.
+	log []string
 }
 
 // send is a request on its way.
@@ -48,12 +50,17 @@
 	upload *io.PipeWriter
 }
 
+func newScenario(t *testing.T) *scenario {
+	return &scenario{
+		t: t, clock: newTestClock(), ledger: &ledger{runs: map[string]int{}},
+		members: &memberList{}, nodes: map[string]*node{}, sends: map[string]*send{},
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, // never replays
+	}
+}
+
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		s := &scenario{
-			t: t, clock: newTestClock(), ledger: &ledger{runs: map[string]int{}},
-			members: &memberList{}, nodes: map[string]*node{}, sends: map[string]*send{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, // never replays
-		}
+		s := newScenario(t)
 		t.Cleanup(s.close)
 		datadriven.RunTest(t, path, s.run)
 	})
@@ -62,6 +69,7 @@
 func (s *scenario) close() {
 	s.client.CloseIdleConnections()
 	for _, n := range s.nodes {
+		close(n.server.quit)
 		_ = n.server.http.Close()
 		_ = n.control.Close()
 		ctx, cancel := context.WithCancel(context.Background())
@@ -144,12 +152,17 @@
 		waitFor(func() bool {
 			return slices.ContainsFunc(n.gate.Stats().Suspects, func(s gate.Suspect) bool { return s.Cleared })
 		})
+	case "deaf":
+		n.deaf.Store(true)
+	case "hear":
+		n.deaf.Store(false)
 	case "ledger":
 		return s.ledger.String()
 	case "gone": // the other nodes learn that the instance is gone
 		s.members.remove(to)
 	case "lose": // the instance ends without a word: node and server
 		_ = n.server.http.Close()
+		_ = n.control.Close()
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		_ = n.kernel.Stop(ctx)
