Learn records and suspects from peers that are heard of late

Cause: a node may synchronise before it knows the members of its service; it then fetched nothing and ran a booking that had run elsewhere. Change: the gate exchanges records with every member it has not met; a fresh node asks for suspects for 30 s as it hears of members, and asks 8 peers rather than all, so that a large service that starts at once stays cheap.

--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -64,7 +64,7 @@
 	recordsKnown atomic.Bool
 	synchronised chan struct{}
 	joined       chan model.Member
-	served       map[model.InstanceID]model.Incarnation // control state
+	met          map[model.InstanceID]model.Incarnation // control state
 
 	// working counts the requests that run or are queued; idle is closed when
 	// there is none while the gate is leaving.
@@ -88,7 +88,7 @@
 
 		synchronised: make(chan struct{}, 1),
 		joined:       make(chan model.Member, joinedCapacity),
-		served:       make(map[model.InstanceID]model.Incarnation),
+		met:          make(map[model.InstanceID]model.Incarnation),
 	}
 	s.peers = newPeerClient()
 	s.peerServer = wire.NewGateServer(keeper{gate: s})
--- a/internal/service/gate/records.go
+++ b/internal/service/gate/records.go
@@ -33,10 +33,10 @@
 			continue
 		}
 		incarnation := member.Announced.Incarnation
-		if known, ok := s.served[member.ID]; ok && known == incarnation {
+		if known, ok := s.met[member.ID]; ok && known == incarnation {
 			continue
 		}
-		s.served[member.ID] = incarnation
+		s.met[member.ID] = incarnation
 		select {
 		case s.joined <- member:
 		default:
@@ -64,7 +64,7 @@
 			s.fetchRecords(ctx)
 			s.recordsKnown.Store(true)
 		case member := <-s.joined:
-			s.serveRecords(ctx, member)
+			s.meet(ctx, member)
 		case <-ctx.Done():
 			return
 		}
@@ -77,26 +77,31 @@
 	defer cancel()
 	var group sync.WaitGroup
 	for _, m := range s.withoutSelf(s.present()) {
-		group.Go(func() {
-			records, err := s.peers.recordsOf(ctx, m.Addresses.Traffic, s.self.ID)
-			if err != nil {
-				s.log.Warn("records of idempotency keys not fetched", "peer", m.ID, "error", err)
-				return
-			}
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			for _, r := range records {
-				s.memory.Record(r, s.clock.Now())
-			}
-		})
+		group.Go(func() { s.fetchFrom(ctx, m) })
 	}
 	group.Wait()
 }
 
-// serveRecords hands the records that concern a new member over to it.
-func (s *Service) serveRecords(ctx context.Context, m model.Member) {
+// fetchFrom asks one gate for the records that concern this one.
+func (s *Service) fetchFrom(ctx context.Context, m model.Member) {
+	records, err := s.peers.recordsOf(ctx, m.Addresses.Traffic, s.self.ID)
+	if err != nil {
+		s.log.Warn("records of idempotency keys not fetched", "peer", m.ID, "error", err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		s.memory.Record(r, s.clock.Now())
+	}
+}
+
+// meet exchanges records with a member that this gate has not known, because
+// either of them is new.
+func (s *Service) meet(ctx context.Context, m model.Member) {
 	ctx, cancel := clock.WithTimeout(ctx, s.clock, handOverTimeout)
 	defer cancel()
+	s.fetchFrom(ctx, m)
 	s.sendRecords(ctx, m.Addresses.Traffic, s.recordsFor(m.ID))
 }
 
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -37,6 +37,7 @@
 	nodes   map[string]*node
 	sends   map[string]*send
 	client  *http.Client
+	hidden  []model.Member
 	// log holds the commands of a random history.
 	log []string
 }
@@ -152,6 +153,18 @@
 		waitFor(func() bool {
 			return slices.ContainsFunc(n.gate.Stats().Suspects, func(s gate.Suspect) bool { return s.Cleared })
 		})
+	case "hide": // the nodes do not know of each other for now
+		s.hidden = s.members.all()
+		for _, m := range s.hidden {
+			s.members.remove(string(m.ID))
+		}
+	case "show": // the node hears of the hidden ones
+		for _, m := range s.hidden {
+			s.members.add(m)
+		}
+		must(n.kernel.Loop().Post(t.Context(), control.MembersChanged{Changed: s.hidden}))
+	case "remembers": // returns when the gate remembers so many requests
+		waitFor(func() bool { return n.gate.Stats().Remembered == count })
 	case "deaf":
 		n.deaf.Store(true)
 	case "hear":
--- a/internal/service/quarantine/handlers.go
+++ b/internal/service/quarantine/handlers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/quarantine"
 	"github.com/galenalever/galenalever/internal/timeline"
 )
@@ -36,10 +37,25 @@
 	s.record(changes)
 	s.loop.After(quarantine.Duration+expirySlack, expiryDue{})
 	if m.spread {
+		s.tellAll.Store(true)
 		s.requestPull()
 	}
 }
 
+// handleMembersChanged lets a fresh node ask peers of which it hears after it has
+// synchronised.
+func (s *Service) handleMembersChanged(m control.MembersChanged) {
+	if s.clock.Now().Sub(s.started) > acquaintance {
+		return
+	}
+	for _, member := range m.Changed {
+		if member.Service == s.self.Service && member.ID != s.self.ID {
+			s.requestPull()
+			return
+		}
+	}
+}
+
 func (s *Service) handleExpiryDue(expiryDue) {
 	next, changes := s.table.Load().Expire(s.clock.Now())
 	s.table.Store(next)
--- a/internal/service/quarantine/notify.go
+++ b/internal/service/quarantine/notify.go
@@ -1,8 +1,10 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +19,8 @@
 )
 
 const (
+	// pullPeers is the number of peers that a node asks for their suspects.
+	pullPeers = 8
 	// maxParallelCalls bounds the calls to peers that run at a time.
 	maxParallelCalls = 32
 	// idleConnections is the time after which an unused connection is closed.
@@ -67,22 +71,42 @@
 	}
 }
 
-// pull exchanges suspects with all peers and reports whether all answered.
+// pull exchanges suspects with some peers, or with all while not all know what
+// this node knows. It reports whether all of them answered.
 func (s *Service) pull(ctx context.Context) bool {
 	ctx, cancel := clock.WithTimeout(ctx, s.clock, pullTimeout)
 	defer cancel()
-	return s.notify(ctx, s.table.Load().Suspects(s.clock.Now()))
+	peers := s.peers()
+	if !s.tellAll.Load() {
+		peers = s.nearest(peers)
+	}
+	ok := s.notify(ctx, peers, s.table.Load().Suspects(s.clock.Now()))
+	if ok {
+		s.tellAll.Store(false)
+	}
+	return ok
+}
+
+// nearest returns a few peers, those that follow this node in order of their
+// IDs, so that nodes which start together ask different ones.
+func (s *Service) nearest(peers []model.Member) []model.Member {
+	slices.SortFunc(peers, func(a, b model.Member) int { return cmp.Compare(a.ID, b.ID) })
+	after, _ := slices.BinarySearchFunc(peers, s.self.ID, func(m model.Member, id model.InstanceID) int {
+		return cmp.Compare(m.ID, id)
+	})
+	peers = slices.Concat(peers[after:], peers[:after])
+	return peers[:min(len(peers), pullPeers)]
 }
 
-// notify sends suspects to the gates of the same service, in parallel, and takes
-// over those that they answer with. It returns when all have answered or the
-// context ends, and reports whether all have.
-func (s *Service) notify(ctx context.Context, suspects []quarantine.Suspect) bool {
+// notify sends suspects to peers, in parallel, and takes over those that they
+// answer with. It returns when all have answered or the context ends, and reports
+// whether all have.
+func (s *Service) notify(ctx context.Context, peers []model.Member, suspects []quarantine.Suspect) bool {
 	var failed atomic.Bool
 	request := &wire.SuspectRequest{Node: string(s.self.ID), Suspects: wireconv.SuspectsToWire(suspects, s.clock.Now())}
 	var group sync.WaitGroup
 	slots := make(chan struct{}, maxParallelCalls)
-	for _, peer := range s.peers() {
+	for _, peer := range peers {
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
--- a/internal/service/quarantine/quarantine.go
+++ b/internal/service/quarantine/quarantine.go
@@ -25,6 +25,9 @@
 	noticeTimeout = 200 * time.Millisecond
 	// pullTimeout bounds one round of asking the peers for their suspects.
 	pullTimeout = 500 * time.Millisecond
+	// acquaintance is how long after its start a node asks peers that it hears
+	// of for their suspects.
+	acquaintance = 30 * time.Second
 	// prepareTimeout is when the gate may start although no peer was heard.
 	prepareTimeout = 5 * time.Second
 )
@@ -56,9 +59,12 @@
 	log      *slog.Logger
 	members  members
 	timeline recorder
+	started  time.Time
 	wake     chan struct{}
 	done     chan struct{}
 	prepared atomic.Bool
+	// tellAll is true while not all peers know what this node knows.
+	tellAll atomic.Bool
 }
 
 // New returns a service without suspects.
@@ -81,6 +87,7 @@
 // Provision implements kernel.Provisioner.
 func (s *Service) Provision(c *kernel.Context) error {
 	s.loop, s.clock, s.log = c.Loop, c.Clock, c.Log
+	s.started = c.Clock.Now()
 	var err error
 	if s.members, err = kernel.Find[members](c, control.Membership); err != nil {
 		return err
@@ -91,6 +98,7 @@
 	kernel.Subscribe(c.Loop, s.handleReceived)
 	kernel.Subscribe(c.Loop, s.handleExpiryDue)
 	kernel.Subscribe(c.Loop, func(control.Synchronised) { s.requestPull() })
+	kernel.Subscribe(c.Loop, s.handleMembersChanged)
 	return nil
 }
 
@@ -141,7 +149,8 @@
 		suspects[i] = quarantine.Suspect{Fingerprint: f, Crashes: crashes, Expires: now.Add(quarantine.Duration)}
 	}
 	s.apply(ctx, suspects)
-	if !s.notify(ctx, suspects) {
+	if !s.notify(ctx, s.peers(), suspects) {
+		s.tellAll.Store(true)
 		s.clock.AfterFunc(firstRetry, s.requestPull)
 	}
 }
