--- a/internal/service/exchange/question.go
+++ b/internal/service/exchange/question.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/members"
 	"github.com/galenalever/galenalever/internal/kernel"
@@ -43,7 +44,7 @@
 // poll asks a peer and has the answer taken in before it returns.
 func (s *Service) poll(ctx context.Context, p peer, ask question) error {
 	request := s.request(p, ask)
-	callCtx, cancel := context.WithTimeout(ctx, ask.timeout(request))
+	callCtx, cancel := clock.WithTimeout(ctx, s.clock, ask.timeout(request))
 	defer cancel()
 	response, err := s.dial(p.address).Poll(callCtx, request)
 	if err != nil {
@@ -61,6 +62,7 @@
 		Time:             uint64(s.timeline.Clock().Now()),
 	}
 	s.setBase(request, ask)
+	s.setRunning(request, ask)
 	if ask.bootstrap {
 		return request
 	}
@@ -105,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	if delta.Revision > model.Revision(request.GetCutRevision()) || ask.bootstrap {
+	if delta.Revision > model.Revision(request.GetCutRevision()) || ask.bootstrap || len(delta.Running) > 0 {
 		messages = append(messages, control.DeltaReceived{From: origin, Delta: delta})
 	}
 	done := pollDone{from: p, round: ask.round, handled: make(chan struct{})}
