Pause between upstreams that fail in a row

Cause: in a failure domain of mostly dead nodes a node went from one silent upstream to the next without a pause, since each change of the role ended the wait after a failure.

--- a/internal/service/exchange/poller.go
+++ b/internal/service/exchange/poller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenalever/galenalever/internal/clock"
+	"github.com/galenalever/galenalever/internal/decision/backoff"
 	"github.com/galenalever/galenalever/internal/kernel"
 )
 
@@ -23,8 +24,14 @@
 	failureDelay = time.Second
 )
 
+// changePolicy bounds the pause before the next upstream is tried after some
+// that failed in a row.
+var changePolicy = backoff.Policy{Base: 50 * time.Millisecond, Max: time.Second}
+
 // runPoller polls the upstream of the current role until the context ends.
 func (s *Service) runPoller(ctx context.Context) {
+	rng := s.random("poller")
+	failures := 0
 	for ctx.Err() == nil {
 		role, changed := s.role.Watch()
 		if role.upstream.address == "" {
@@ -36,28 +43,37 @@
 			defer cancel()
 			waitFor(roleCtx, changed)
 		})
-		s.follow(roleCtx, role)
+		answered := s.follow(roleCtx, role)
 		cancel()
+		if answered {
+			failures = 0
+			continue
+		}
+		failures++
+		_ = clock.Wait(ctx, s.clock, changePolicy.Delay(failures, rng))
 	}
 }
 
-// follow polls one upstream until the role changes. The first poll is answered
-// at once, so that the node knows soon that it is up to date.
-func (s *Service) follow(ctx context.Context, r role) {
+// follow polls one upstream until the role changes, and reports whether the
+// upstream has answered. The first poll is answered at once, so that the node
+// knows soon that it is up to date.
+func (s *Service) follow(ctx context.Context, r role) (answered bool) {
 	ask := question{round: r.round}
 	for ctx.Err() == nil {
 		ask.bootstrap = !s.hasConfiguration()
 		err := s.poll(ctx, r.upstream, ask)
 		switch {
 		case ctx.Err() != nil:
-			return
+			return answered
 		case err != nil:
 			s.reportFailure(ctx, r.upstream, err)
 		default:
+			answered = true
 			ask.wait = pollWait
 			_ = clock.Wait(ctx, s.clock, minPollInterval)
 		}
 	}
+	return answered
 }
 
 // reportFailure lets the control loop choose another upstream, and waits if
