Check pauses in the scenarios; let the watchdog rest on the gap alone

Cause: Fresh already compares the clock with the last tick, so the second check in the handler of Synchronised did nothing that the next tick does not do.

--- a/internal/distribution/node_test.go
+++ b/internal/distribution/node_test.go
@@ -90,10 +90,16 @@
 func (*observer) Name() string { return "observer" }
 
 func (o *observer) Provision(c *kernel.Context) error {
+	kernel.Subscribe(c.Loop, func(m stall) { <-m.resume })
 	kernel.Subscribe(c.Loop, func(m control.ConfigurationChanged) { o.mesh.observe(o.id, m.Configuration) })
 	return nil
 }
 
+// stall stops a control loop until resume is closed.
+type stall struct{ resume chan struct{} }
+
+func (stall) MessageName() string { return "stall" }
+
 // timelineService drops the events.
 type timelineService struct{ clock *timeline.Clock }
 
--- a/internal/service/watchdog/watchdog.go
+++ b/internal/service/watchdog/watchdog.go
@@ -107,15 +107,11 @@
 	s.timeline.Record(timeline.KindPaused, m.Gap.Round(time.Millisecond).String())
 }
 
-// handleSynchronised ignores an answer that was overtaken by a pause: what is
-// found in the mailbox after waking may be older than the pause.
+// handleSynchronised makes the state fresh. An answer from before a pause that
+// is handled ahead of the next tick changes nothing: Fresh still sees the gap,
+// and the tick makes the state stale again.
 func (s *Service) handleSynchronised(m control.Synchronised) {
-	if s.gap() > maxGap {
-		s.check()
-		return
+	if s.gap() <= maxGap && !s.synchronised.Swap(true) {
+		s.timeline.Record(timeline.KindSynchronised, m.From.String())
 	}
-	if s.synchronised.Swap(true) {
-		return
-	}
-	s.timeline.Record(timeline.KindSynchronised, m.From.String())
 }
