Prove that superseded versions reach every node, over the real exchange

A domain is parted while a good version and then a faulty one are published; after healing, and after faulty versions at six other distances, all 24 nodes must run the good one within 10 s of simulated time.

--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -44,6 +44,10 @@
 		return s.start(d)
 	case "publish":
 		return s.publish(d)
+	case "supersede":
+		s.supersede(d)
+	case "agreed":
+		return s.agreed(d)
 	case "run":
 		s.mesh.advance(duration(t, d, "for"))
 	case "kill":
