Synchronise once for each start or pause, not with each poll

Every answered poll emitted Synchronised, on which the quarantine service asks all peers of its service for their suspects: 258 bytes received, 74 sent, 4 to 10 times a second. Change: exchange and source emit it once for each round, that is after the start and after each pause.

--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -61,6 +61,10 @@
 		s.setPlatform(d)
 	case "ghosts":
 		s.listGhosts(d)
+	case "synchronised":
+		s.mesh.synchronised.Store(0)
+		s.mesh.advance(duration(t, d, "during"))
+		return fmt.Sprintf("%d times", s.mesh.synchronised.Load())
 	case "announcements":
 		return s.announcements(d)
 	case "pause":
--- a/internal/distribution/mesh_test.go
+++ b/internal/distribution/mesh_test.go
@@ -35,8 +35,10 @@
 	reverted []string
 	// announced counts the announcements of all nodes.
 	announced atomic.Int64
-	perNode   map[model.InstanceID]uint64
-	lives     uint64
+	// synchronised counts the messages of that name on all nodes.
+	synchronised atomic.Int64
+	perNode      map[model.InstanceID]uint64
+	lives        uint64
 }
 
 func newMesh(domains []model.FailureDomain, limit int) *mesh {
--- a/internal/distribution/node_test.go
+++ b/internal/distribution/node_test.go
@@ -91,6 +91,7 @@
 
 func (o *observer) Provision(c *kernel.Context) error {
 	kernel.Subscribe(c.Loop, func(m stall) { <-m.resume })
+	kernel.Subscribe(c.Loop, func(control.Synchronised) { o.mesh.synchronised.Add(1) })
 	kernel.Subscribe(c.Loop, func(m control.ConfigurationChanged) { o.mesh.observe(o.id, m.Configuration) })
 	return nil
 }
--- a/internal/service/exchange/planner.go
+++ b/internal/service/exchange/planner.go
@@ -57,6 +57,8 @@
 	failures int
 	// configured is true once the node has a configuration.
 	configured bool
+	// synchronised is true once a peer has answered in the present round.
+	synchronised bool
 	// mayRead is true once peers were asked for long enough.
 	mayRead bool
 	// planned is true while a replan message is on its way.
@@ -132,6 +134,7 @@
 func (s *Service) handlePaused(control.Paused) {
 	s.planner.exclusions.Clear()
 	s.planner.failures = 0
+	s.planner.synchronised = false
 	next := s.role.Load()
 	next.round++
 	s.role.Store(next)
--- a/internal/service/exchange/results.go
+++ b/internal/service/exchange/results.go
@@ -45,7 +45,8 @@
 		s.scheduleReplan(replanDelay)
 	}
 	s.planner.failures = 0
-	if s.planner.configured && m.round == s.role.Load().round {
+	if s.planner.configured && !s.planner.synchronised && m.round == s.role.Load().round {
+		s.planner.synchronised = true
 		s.loop.Emit(control.Synchronised{From: control.Origin{Peer: m.from.name()}})
 	}
 }
--- a/internal/service/source/source.go
+++ b/internal/service/source/source.go
@@ -200,6 +200,9 @@
 	if m.round != s.order.Load().round {
 		return
 	}
+	if s.confirmed[m.listing] {
+		return
+	}
 	s.confirmed[m.listing] = true
 	if s.confirmed[listingKeys] && s.confirmed[listingInstances] {
 		s.loop.Emit(control.Synchronised{From: control.Origin{Platform: true}})
