Pull suspects and records once for each start and pause

Cause: gate and quarantine asked their peers after every control.Synchronised, which the exchange emits with every answer of a poll; 12 nodes of one service sent 264 Records and 192 Suspect calls to each other in 6 s while nothing changed. Ruled out: the retry of notices and the acquaintance with late peers (both end after 30 s), member digests (the views of all nodes were equal). Change: the watchdog emits Refreshed when the node becomes fresh; the two services listen to that.

--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -164,7 +164,8 @@
 
 // instance describes one instance that is not a real node.
 func (f *largeFleet) instance(i int, state string) platform.Instance {
-	n := i % f.command.Services
+	// The real nodes' own service has no instance that does not answer.
+	n := 1 + i%(f.command.Services-1)
 	address := fmt.Sprintf("127.1.%d.%d", i>>8&0xff, i&0xff)
 	return platform.Instance{
 		ID:       fmt.Sprintf("instance-%05d", i),
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -160,3 +160,12 @@
 
 // MessageName implements kernel.Message.
 func (Synchronised) MessageName() string { return "synchronised" }
+
+// Refreshed tells that the node became fresh: it synchronised for the first
+// time, or for the first time after a pause. Unlike Synchronised, which may
+// follow every answer, it comes once for each start and pause.
+// Emitted by watchdog.
+type Refreshed struct{}
+
+// MessageName implements kernel.Message.
+func (Refreshed) MessageName() string { return "refreshed" }
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -62,7 +62,7 @@
 
 	// Records of idempotency keys; see records.go.
 	recordsKnown atomic.Bool
-	synchronised chan struct{}
+	refreshed    chan struct{}
 	joined       chan model.Member
 	met          map[model.InstanceID]model.Incarnation // control state
 
@@ -86,9 +86,9 @@
 		repeats:    make(map[dedupe.Waiter]chan dedupe.Decision),
 		idle:       make(chan struct{}),
 
-		synchronised: make(chan struct{}, 1),
-		joined:       make(chan model.Member, joinedCapacity),
-		met:          make(map[model.InstanceID]model.Incarnation),
+		refreshed: make(chan struct{}, 1),
+		joined:    make(chan model.Member, joinedCapacity),
+		met:       make(map[model.InstanceID]model.Incarnation),
 	}
 	s.peers = newPeerClient()
 	s.peerServer = wire.NewGateServer(keeper{gate: s})
@@ -141,7 +141,7 @@
 	kernel.Subscribe(c.Loop, s.handleConfigurationChanged)
 	kernel.Subscribe(c.Loop, s.handlePresenceChanged)
 	kernel.Subscribe(c.Loop, s.handleMembersChanged)
-	kernel.Subscribe(c.Loop, s.handleSynchronised)
+	kernel.Subscribe(c.Loop, s.handleRefreshed)
 	s.configure()
 	return nil
 }
--- a/internal/service/gate/records.go
+++ b/internal/service/gate/records.go
@@ -45,10 +45,10 @@
 	}
 }
 
-// handleSynchronised asks for the records of the other gates.
-func (s *Service) handleSynchronised(control.Synchronised) {
+// handleRefreshed asks for the records of the other gates.
+func (s *Service) handleRefreshed(control.Refreshed) {
 	select {
-	case s.synchronised <- struct{}{}:
+	case s.refreshed <- struct{}{}:
 	default:
 	}
 }
@@ -60,7 +60,7 @@
 	defer timer.Stop()
 	for {
 		select {
-		case <-s.synchronised:
+		case <-s.refreshed:
 			s.fetchRecords(ctx)
 			s.recordsKnown.Store(true)
 		case member := <-s.joined:
--- a/internal/service/quarantine/quarantine.go
+++ b/internal/service/quarantine/quarantine.go
@@ -97,7 +97,7 @@
 	}
 	kernel.Subscribe(c.Loop, s.handleReceived)
 	kernel.Subscribe(c.Loop, s.handleExpiryDue)
-	kernel.Subscribe(c.Loop, func(control.Synchronised) { s.requestPull() })
+	kernel.Subscribe(c.Loop, func(control.Refreshed) { s.requestPull() })
 	kernel.Subscribe(c.Loop, s.handleMembersChanged)
 	return nil
 }
--- a/internal/service/watchdog/watchdog.go
+++ b/internal/service/watchdog/watchdog.go
@@ -113,5 +113,6 @@
 func (s *Service) handleSynchronised(m control.Synchronised) {
 	if s.gap() <= maxGap && !s.synchronised.Swap(true) {
 		s.timeline.Record(timeline.KindSynchronised, m.From.String())
+		s.loop.Emit(control.Refreshed{})
 	}
 }
--- a/internal/service/watchdog/watchdog_test.go
+++ b/internal/service/watchdog/watchdog_test.go
@@ -19,6 +19,8 @@
 	kernel   *kernel.Kernel
 	watchdog *watchdog.Service
 	pauses   []time.Duration
+	// refreshed counts the messages that follow a start or a pause.
+	refreshed int
 }
 
 func (*bench) Name() string                 { return control.Timeline }
@@ -26,6 +28,7 @@
 
 func (b *bench) Provision(c *kernel.Context) error {
 	kernel.Subscribe(c.Loop, func(m control.Paused) { b.pauses = append(b.pauses, m.Gap) })
+	kernel.Subscribe(c.Loop, func(control.Refreshed) { b.refreshed++ })
 	kernel.Subscribe(c.Loop, func(m stall) { <-m.resume })
 	return nil
 }
@@ -115,6 +118,26 @@
 	}
 }
 
+func TestRefreshedOnceForEachStartAndPause(t *testing.T) {
+	inBubble(t, refreshedOnceForEachStartAndPause)
+}
+
+func refreshedOnceForEachStartAndPause(t *testing.T, b *bench) {
+	for range 3 {
+		b.synchronise()
+	}
+	if b.refreshed != 1 {
+		t.Errorf("refreshed %d times after the start, want 1", b.refreshed)
+	}
+	b.pause(5 * time.Second)()
+	for range 3 {
+		b.synchronise()
+	}
+	if b.refreshed != 2 {
+		t.Errorf("refreshed %d times after a pause, want 2", b.refreshed)
+	}
+}
+
 func TestSynchronisationFromBeforeThePauseIsIgnored(t *testing.T) {
 	inBubble(t, synchronisationFromBeforeThePauseIsIgnored)
 }
