Collect all findings of a runbook; make replays hold; test check, plan and run

Change: findings of file, steps and documents are reported together as far as the faults allow. A step counts as done with the leaf after it or after a later step, unless the leaf had that value before the step as well (--from goes on from a step in that case). Nodes that the others know as gone may be silent. Commands with set need in_force.

Ruled out: comparing only the set value, since leaves are compared as the nodes hold them, with defaults filled in; remembering progress in a file, since the tool would then need one place for all operators.

--- a/internal/ctl/nodes_test.go
+++ b/internal/ctl/nodes_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
@@ -14,7 +15,8 @@
 
 // fakeFleet plays operator ports. The pages of a node are the input of the
 // command that starts it, one "path body" in each line; $name stands for the
-// address of another node.
+// address of another node. A path that stands several times gets its bodies in
+// turn, the last one from then on.
 type fakeFleet struct {
 	t         *testing.T
 	addresses map[string]string
@@ -41,11 +43,17 @@
 }
 
 func (f *fakeFleet) start(name, pages string) {
-	mux := http.NewServeMux()
+	bodies := make(map[string][]string)
 	for line := range strings.Lines(pages) {
 		path, body, _ := strings.Cut(strings.TrimSpace(line), " ")
+		bodies[path] = append(bodies[path], body)
+	}
+	mux := http.NewServeMux()
+	for path, bodies := range bodies {
+		var calls atomic.Int64
 		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
-			fmt.Fprint(w, f.expand(body))
+			call := int(calls.Add(1)) - 1
+			fmt.Fprint(w, f.expand(bodies[min(call, len(bodies)-1)]))
 		})
 	}
 	server := httptest.NewServer(mux)
--- a/internal/ctl/runbook.go
+++ b/internal/ctl/runbook.go
@@ -20,8 +20,8 @@
 
 // runbookFiles name the input of every runbook command.
 type runbookFiles struct {
-	Runbook  string `arg:"" help:"File of the runbook." type:"existingfile"`
-	Document string `help:"File of the team's document as it is published now." required:"" type:"existingfile"`
+	Runbook  string `arg:"" help:"File of the runbook."`
+	Document string `help:"File of the team's document as it was published before the first step." env:"GALENA_DOCUMENT" required:""`
 }
 
 // plan is a checked runbook.
@@ -30,6 +30,8 @@
 	actions []runbook.Action
 	// documents holds the text to publish for each action, in order.
 	documents [][]byte
+	// states holds the leaves before the first step and after every step.
+	states [][]model.Leaf
 }
 
 type runbookCheck struct{ runbookFiles }
@@ -70,59 +72,76 @@
 func (f *runbookFiles) load() (*plan, error) {
 	text, err := os.ReadFile(f.Runbook)
 	if err != nil {
-		return nil, err
+		return nil, cli.UsageError{Err: err}
 	}
 	current, err := os.ReadFile(f.Document)
 	if err != nil {
-		return nil, err
-	}
-	book, list := document.ParseRunbook(f.Runbook, text)
-	vocabulary, more := readVocabulary(f.Document, book.Team, current)
-	list = append(list, more...)
-	if len(list) > 0 {
-		return nil, cli.UsageError{Err: list.Err()}
-	}
-	p := &plan{team: book.Team}
-	p.actions, list = runbook.Bind(book, vocabulary)
-	if len(list) == 0 {
-		p.documents, list = documents(book, p.actions, current)
+		return nil, cli.UsageError{Err: err}
 	}
+	p, list := newPlan(f.Runbook, text, f.Document, current)
 	if len(list) > 0 {
+		list.Sort()
 		return nil, cli.UsageError{Err: list.Err()}
 	}
 	return p, nil
 }
 
-func readVocabulary(source string, team model.TeamName, text []byte) ([]*model.Command, findings.List) {
-	leaves, list := document.ParseTeam(source, team, text)
+// newPlan checks a runbook against the document as far as their faults allow.
+func newPlan(runbookFile string, text []byte, documentFile string, current []byte) (*plan, findings.List) {
+	book, list := document.ParseRunbook(runbookFile, text)
+	if book.Team == "" {
+		return nil, list
+	}
+	leaves, faults := document.ParseTeam(documentFile, book.Team, current)
+	if len(faults) > 0 {
+		return nil, append(list, faults...)
+	}
+	vocabulary, err := commandsOf(book.Team, leaves)
+	if err != nil {
+		list.Addf(findings.Place{Source: documentFile}, "%v", err)
+		return nil, list
+	}
+	p := &plan{team: book.Team, states: [][]model.Leaf{leaves}}
+	var unbound findings.List
+	p.actions, unbound = runbook.Bind(book, vocabulary)
+	list = append(list, unbound...)
 	if len(list) > 0 {
 		return nil, list
 	}
+	return p, p.edit(book, current)
+}
+
+func commandsOf(team model.TeamName, leaves []model.Leaf) ([]*model.Command, error) {
 	declarations, err := document.Decode(&model.Subtree{Key: model.TeamKey(team), Leaves: leaves})
 	if err != nil {
-		list.Addf(findings.Place{Source: source}, "%v", err)
-		return nil, list
+		return nil, err
 	}
 	return declarations.Commands, nil
 }
 
-// documents applies the actions one after another and checks each result.
-func documents(book *runbook.Runbook, actions []runbook.Action, text []byte) ([][]byte, findings.List) {
-	var out [][]byte
+// edit applies the actions one after another and checks each result. A fault
+// that lasts over several steps is reported for the first.
+func (p *plan) edit(book *runbook.Runbook, text []byte) findings.List {
 	var list findings.List
-	for i, action := range actions {
+	reported := make(map[string]bool)
+	for i, action := range p.actions {
 		place := book.Steps[i].Place
 		edited, err := document.Edit(text, action.Set)
 		if err != nil {
 			list.Addf(place, "step %d: %v", action.Number, err)
 			continue
 		}
-		_, faults := document.ParseTeam("", book.Team, edited)
+		leaves, faults := document.ParseTeam("", book.Team, edited)
 		for _, fault := range faults {
-			list.Addf(place, "step %d makes a faulty document: %s: %s", action.Number, fault.Place.Path, fault.Message)
+			message := fault.Place.Path + ": " + fault.Message
+			if !reported[message] {
+				list.Addf(place, "step %d makes a faulty document: %s", action.Number, message)
+			}
+			reported[message] = true
 		}
 		text = edited
-		out = append(out, edited)
+		p.documents = append(p.documents, edited)
+		p.states = append(p.states, leaves)
 	}
-	return out, list
+	return list
 }
--- a/internal/decision/runbook/outcome.go
+++ b/internal/decision/runbook/outcome.go
@@ -1,9 +1,7 @@
 package runbook
 
 import (
-	"bytes"
 	"fmt"
-	"strings"
 
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -20,9 +18,9 @@
 }
 
 // Unmet returns why the goal does not hold yet, one entry for each node that
-// lacks something. It is empty when the goal holds on all nodes. Want holds the
-// leaves that the action's settings result in.
-func Unmet(g Goal, want []model.Leaf, nodes []NodeState) []string {
+// lacks something. It is empty when the goal holds on all nodes. Want holds
+// what must be in force.
+func Unmet(g Goal, want []Want, nodes []NodeState) []string {
 	var reasons []string
 	for _, node := range nodes {
 		if reason := unmetAt(g, want, node); reason != "" {
@@ -32,7 +30,7 @@
 	return reasons
 }
 
-func unmetAt(g Goal, want []model.Leaf, node NodeState) string {
+func unmetAt(g Goal, want []Want, node NodeState) string {
 	if g.InForce {
 		if reason := missingLeaf(want, node); reason != "" {
 			return reason
@@ -49,9 +47,9 @@
 	return ""
 }
 
-func missingLeaf(want []model.Leaf, node NodeState) string {
+func missingLeaf(want []Want, node NodeState) string {
 	for _, leaf := range want {
-		if bytes.Equal(node.Leaves[leaf.Path], leaf.Value) {
+		if leaf.holds(node.Leaves[leaf.Path]) {
 			continue
 		}
 		if node.Held != "" {
@@ -81,27 +79,20 @@
 	return false
 }
 
-// Touched returns the leaves that the settings change, out of those of the
-// edited document.
-func Touched(settings []model.Setting, leaves []model.Leaf) []model.Leaf {
-	var out []model.Leaf
-	for _, leaf := range leaves {
-		for _, s := range settings {
-			if leafOf(s.Path) == leaf.Path {
-				out = append(out, leaf)
-				break
+// HasLeft reports whether the nodes know the operator address only as one of an
+// instance that is no longer present, so that its silence is expected.
+func HasLeft(operator string, nodes []NodeState) bool {
+	left := false
+	for _, node := range nodes {
+		for _, m := range node.Members {
+			if m.Addresses.Operator != operator {
+				continue
+			}
+			if m.Present() {
+				return false
 			}
+			left = true
 		}
 	}
-	return out
-}
-
-// leafOf returns the leaf path of a dotted document path: the first two
-// segments.
-func leafOf(path string) string {
-	segments := strings.SplitN(path, ".", 3)
-	if len(segments) < 2 {
-		return path
-	}
-	return segments[0] + "/" + segments[1]
+	return left
 }
--- a/internal/decision/runbook/runbook.go
+++ b/internal/decision/runbook/runbook.go
@@ -62,6 +62,9 @@
 	actions := make([]Action, 0, len(book.Steps))
 	for i, step := range book.Steps {
 		b := binder{step: step, number: i + 1, list: &list}
+		if step.Command == "" {
+			continue // a finding of the parser
+		}
 		command, ok := byName[step.Command]
 		if !ok {
 			known := strings.Join(slices.Sorted(maps.Keys(byName)), ", ")
@@ -114,17 +117,18 @@
 	}
 	g.Service = model.NewServiceName(c.Team, b.fill(e.PresentService))
 	count, err := strconv.Atoi(b.fill(e.PresentAtLeast))
-	if err != nil || count < 0 {
+	if err != nil || count < 1 {
 		b.addf("%q is not a number of servers", b.fill(e.PresentAtLeast))
 	}
 	g.AtLeast = count
 	return g
 }
 
-// fill replaces ${parameter} by its argument.
+// fill replaces ${parameter} by its argument. Arguments are not filled again.
 func (b *binder) fill(text string) string {
+	pairs := make([]string, 0, 2*len(b.step.Arguments))
 	for name, argument := range b.step.Arguments {
-		text = strings.ReplaceAll(text, "${"+name+"}", argument)
+		pairs = append(pairs, "${"+name+"}", argument)
 	}
-	return text
+	return strings.NewReplacer(pairs...).Replace(text)
 }
--- a/internal/document/command.go
+++ b/internal/document/command.go
@@ -37,13 +37,23 @@
 		"set":        func(v value) { c.Set = t.settings(v) },
 		"expect":     func(v value) { c.Expect = t.expectation(v) },
 	})
-	if c.Expect == (model.Expectation{}) {
-		t.addf(v, "expect is missing: a command must state the outcome to wait for")
-	}
+	t.checkOutcome(v, c)
 	t.checkReferences(v, c)
 	return c
 }
 
+// checkOutcome reports a command whose outcome would not show that it is done.
+func (t *teamReader) checkOutcome(v value, c *model.Command) {
+	switch {
+	case c.Expect == (model.Expectation{}):
+		t.addf(v, "expect is missing: a command must state the outcome to wait for")
+	case len(c.Set) > 0 && !c.Expect.InForce:
+		t.addf(v, "set needs in_force in expect, or the next step could begin before the change runs")
+	case len(c.Set) == 0 && c.Expect.InForce:
+		t.addf(v, "in_force needs set: without a change there is nothing to wait for")
+	}
+}
+
 func (t *teamReader) isParameter(v value, name string) bool {
 	if !isName(name) {
 		t.addf(v, "%s is not a parameter name", quote(name))
@@ -61,11 +71,35 @@
 			t.addf(e.key, "%s is not beneath %s", quote(e.name), strings.Join(settablePaths, " or "))
 			continue
 		}
-		out = append(out, model.Setting{Path: e.name, Value: settingText(e.value.node)})
+		if kindOf(e.value.node) == kindEmpty {
+			t.addf(e.key, "%s has no value", quote(e.name))
+			continue
+		}
+		text := settingText(e.value.node)
+		if strings.ContainsAny(text, "\r\n") {
+			t.addf(e.key, "the value must be on one line: write mappings in braces and lists in brackets")
+		}
+		out = append(out, model.Setting{Path: e.name, Value: text})
 	}
 	return out
 }
 
+// scalar reads text, a number, true or false on one line as text.
+func (r *reader) scalar(v value) string {
+	switch v.node.(type) {
+	case *ast.StringNode, *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode:
+	default:
+		r.addf(v, "must be text, a number, true or false, not %s", kindOf(v.node))
+		return ""
+	}
+	text := settingText(v.node)
+	if strings.ContainsAny(text, "\r\n") {
+		r.addf(v, "must be on one line")
+		return ""
+	}
+	return text
+}
+
 // settingText returns the YAML text of a value, without the quotes of a plain
 // string, so that a parameter may stand for a number.
 func settingText(node ast.Node) string {
@@ -88,7 +122,7 @@
 func (t *teamReader) presence(v value, e *model.Expectation) {
 	present := t.mapping(v, fields{
 		"service":  func(v value) { e.PresentService, _ = t.text(v) },
-		"at_least": func(v value) { e.PresentAtLeast = settingText(v.node) },
+		"at_least": func(v value) { e.PresentAtLeast = t.scalar(v) },
 	})
 	if len(present) != 2 {
 		t.addf(v, "present needs service and at_least")
--- a/internal/document/edit.go
+++ b/internal/document/edit.go
@@ -13,15 +13,21 @@
 
 // Edit returns the text of a team's document with the settings put in place.
 // Comments and the order of the other fields are kept. The result is not
-// checked; parse it to find faults.
-func Edit(text []byte, settings []model.Setting) ([]byte, error) {
+// checked; parse it to find faults. A panic of the YAML library is reported as
+// an error.
+func Edit(text []byte, settings []model.Setting) (edited []byte, err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			edited, err = nil, errNotYAML
+		}
+	}()
 	for _, s := range settings {
 		file, err := parser.ParseBytes(text, parser.ParseComments)
 		if err != nil {
 			return nil, eris.Wrap(err, "document")
 		}
 		if err := put(file, s); err != nil {
-			return nil, eris.Wrapf(err, "setting %s", s.Path)
+			return nil, eris.Errorf("setting %s to %s: %s", shorten(s.Path), quote(s.Value), firstLine(err))
 		}
 		text = []byte(file.String())
 	}
@@ -37,17 +43,38 @@
 		if err != nil {
 			return err
 		}
-		if _, err := path.FilterFile(file); err != nil {
+		old, err := path.FilterFile(file)
+		if err != nil {
 			continue
 		}
 		if depth == len(segments) {
-			return path.ReplaceWithReader(file, strings.NewReader(s.Value))
+			return replace(file, path, old, s.Value)
 		}
 		return path.MergeFromReader(file, strings.NewReader(nested(segments[depth:], s.Value)))
 	}
 	return eris.New("document has no mapping at its top")
 }
 
+// replace puts the value in place of the old node and keeps its comment.
+func replace(file *ast.File, path *yaml.Path, old ast.Node, value string) error {
+	comment := old.GetComment()
+	if err := path.ReplaceWithReader(file, strings.NewReader(value)); err != nil {
+		return err
+	}
+	node, err := path.FilterFile(file)
+	if err != nil || comment == nil {
+		return err
+	}
+	return node.SetComment(comment)
+}
+
+// firstLine returns the message of a YAML error without the excerpt of the
+// document.
+func firstLine(err error) string {
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return line
+}
+
 func dotted(segments []string) string {
 	var b strings.Builder
 	for _, segment := range segments {
--- a/internal/document/reader.go
+++ b/internal/document/reader.go
@@ -111,11 +111,14 @@
 	return path + "." + name
 }
 
+// kindEmpty is the kind of a field without a value.
+const kindEmpty = "empty"
+
 // kindOf names the YAML type of a node for findings.
 func kindOf(node ast.Node) string {
 	switch node.(type) {
 	case nil, *ast.NullNode:
-		return "empty"
+		return kindEmpty
 	case *ast.MappingNode, *ast.MappingValueNode:
 		return "a mapping"
 	case *ast.SequenceNode:
--- a/internal/document/runbook.go
+++ b/internal/document/runbook.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/goccy/go-yaml/ast"
+
 	"github.com/galenalever/galenalever/internal/decision/runbook"
 	"github.com/galenalever/galenalever/internal/findings"
 	"github.com/galenalever/galenalever/internal/model"
@@ -14,7 +16,8 @@
 // maxSteps bounds one runbook.
 const maxSteps = 200
 
-var stepTimeoutRange = durationRange{time.Second, 24 * time.Hour}
+// stepTimeoutRange bounds the wait for a step; 0 looks at the fleet once.
+var stepTimeoutRange = durationRange{0, 24 * time.Hour}
 
 // ParseRunbook parses a runbook. Source names the file in findings.
 func ParseRunbook(source string, text []byte) (*runbook.Runbook, findings.List) {
@@ -50,14 +53,28 @@
 	return steps
 }
 
+// firstKey returns the first key of a mapping, or the value itself if it is
+// none.
+func firstKey(v value) value {
+	switch node := v.node.(type) {
+	case *ast.MappingNode:
+		if len(node.Values) > 0 {
+			return value{node: node.Values[0].Key, path: v.path}
+		}
+	case *ast.MappingValueNode:
+		return value{node: node.Key, path: v.path}
+	}
+	return v
+}
+
 func (r *reader) step(v value) runbook.Step {
-	s := runbook.Step{Place: r.place(v), Timeout: DefaultStepTimeout, Arguments: map[string]string{}}
+	s := runbook.Step{Place: r.place(firstKey(v)), Timeout: DefaultStepTimeout, Arguments: map[string]string{}}
 	present := r.mapping(v, fields{
 		"command": func(v value) { s.Command, _ = r.text(v) },
 		"timeout": func(v value) { s.Timeout = r.duration(v, stepTimeoutRange) },
 		"with": func(v value) {
 			for _, e := range r.entries(v) {
-				s.Arguments[e.name] = settingText(e.value.node)
+				s.Arguments[e.name] = r.scalar(e.value)
 			}
 		},
 	})
--- a/internal/status/client.go
+++ b/internal/status/client.go
@@ -31,6 +31,9 @@
 	return &Client{http: &http.Client{Timeout: timeout}}
 }
 
+// Close closes unused connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // Report asks the node at an operator address for its status.
 func (c *Client) Report(ctx context.Context, address string) (Report, error) {
 	var r Report
