--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -4,6 +4,7 @@
 package hop
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -76,13 +77,12 @@
 		Idempotent: h.Get(HeaderIdempotent) == "true",
 	}
 	var ok [4]bool
-	var timeout, attempt, incarnation, now int64
+	var attempt, incarnation, now int64
 	attempt, ok[0] = number(h, HeaderAttempt)
-	timeout, ok[1] = number(h, HeaderTimeout)
+	r.Timeout, ok[1] = microseconds(h, HeaderTimeout)
 	incarnation, ok[2] = number(h, HeaderIncarnation)
 	now, ok[3] = number(h, HeaderTime)
 	r.Attempt = int(attempt)
-	r.Timeout = time.Duration(timeout) * time.Microsecond
 	r.Incarnation = model.Incarnation(incarnation)
 	r.Time = timeline.Timestamp(now)
 	valid := r.ID != "" && r.Service != "" && ok == [4]bool{true, true, true, true}
@@ -132,7 +132,7 @@
 // DecodeResponse reads the headers of an answer. It reports false if the answer
 // did not come from a gate.
 func DecodeResponse(h http.Header) (Response, bool) {
-	retryAfter, _ := number(h, HeaderRetryAfter)
+	retryAfter, _ := microseconds(h, HeaderRetryAfter)
 	inFlight, _ := number(h, HeaderInFlight)
 	queued, _ := number(h, HeaderQueued)
 	slots, _ := number(h, HeaderSlots)
@@ -142,7 +142,7 @@
 		ID:          model.RequestID(h.Get(HeaderRequestID)),
 		Outcome:     model.ParseOutcome(h.Get(HeaderOutcome)),
 		Reason:      model.Reason(h.Get(HeaderReason)),
-		RetryAfter:  time.Duration(retryAfter) * time.Microsecond,
+		RetryAfter:  retryAfter,
 		Load:        Load{InFlight: int(inFlight), Queued: int(queued), Slots: int(slots)},
 		Incarnation: model.Incarnation(incarnation),
 		Time:        timeline.Timestamp(now),
@@ -168,3 +168,13 @@
 	}
 	return n, true
 }
+
+// microseconds reads a duration. One that time.Duration cannot hold is not
+// valid.
+func microseconds(h http.Header, name string) (time.Duration, bool) {
+	n, ok := number(h, name)
+	if !ok || n > int64(math.MaxInt64/time.Microsecond) {
+		return 0, false
+	}
+	return time.Duration(n) * time.Microsecond, true
+}
