--- a/internal/service/source/client.go
+++ b/internal/service/source/client.go
@@ -21,6 +21,8 @@
 	callTimeout = 5 * time.Second
 	// maxAnswerBytes bounds an answer; the list of instances is the largest.
 	maxAnswerBytes = 32 << 20
+	// maxRetryAfter bounds the wait that the platform can ask for.
+	maxRetryAfter = time.Minute
 )
 
 // Client is the Platform over HTTP.
@@ -189,5 +191,5 @@
 	if err != nil || seconds < 0 {
 		return 0
 	}
-	return time.Duration(seconds) * time.Second
+	return time.Duration(min(seconds, int(maxRetryAfter/time.Second))) * time.Second
 }
