--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -9,6 +9,8 @@
 	"github.com/galenalever/galenalever/internal/cli"
 )
 
+//go:generate go test . -run TestSettingsPage -rewrite
+
 type commands struct {
 	Config   configCommands   `cmd:"" help:"Work with settings trees."`
 	Version  kong.VersionFlag `help:"Print the version."`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,10 +1,13 @@
 package settings_test
 
 import (
+	"net"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/alecthomas/kong"
+
 	"github.com/galenalever/galenalever/internal/settings"
 )
 
@@ -41,3 +44,24 @@
 		}
 	}
 }
+
+// TestListenersAreOnLoopbackUnlessSet checks the defaults, above all that of
+// the operators' port, which shows everything that a node knows.
+func TestListenersAreOnLoopbackUnlessSet(t *testing.T) {
+	var d settings.Daemon
+	parser, err := kong.New(&d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := parser.Parse([]string{
+		"--instance=i", "--service=t/s", "--domain=d", "--backend=http://b:1", "--platform=http://p:1",
+	}); err != nil {
+		t.Fatal(err)
+	}
+	for _, address := range []string{d.Listen, d.ListenTraffic, d.ListenControl, d.ListenOperator} {
+		host, _, err := net.SplitHostPort(address)
+		if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsLoopback() {
+			t.Errorf("%q is not on loopback", address)
+		}
+	}
+}
