Bound the node's memory by a soft limit

Cause: at 3,400 services and 21,000 instances a reader's memory rose to 88 MB while it loaded, above the 64 MB of the target. Ruled out: a hard bound, as live state has to fit anyway.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -40,6 +41,9 @@
 		return cli.ExitUsage
 	}
 	log := newLogger(&line.Daemon, stderr)
+	if line.MemoryLimit > 0 {
+		debug.SetMemoryLimit(line.MemoryLimit << 20)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := run(ctx, &line.Daemon, log); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,7 +43,8 @@
 	Balancer  string `help:"Choice of a server: adaptive, or a baseline for experiments, random or reported." env:"GALENA_BALANCER" enum:"adaptive,random,reported" default:"adaptive"`
 	Admission string `help:"Admission at the gate: bounded, or a baseline for experiments, unbounded." env:"GALENA_ADMISSION" enum:"bounded,unbounded" default:"bounded"`
 
-	Profiling bool `help:"Serve the pages of net/http/pprof on the operator port." env:"GALENA_PROFILING"`
+	MemoryLimit int64 `help:"Memory in MiB above which the garbage collector works harder; 0 means no limit." env:"GALENA_MEMORY_LIMIT" default:"56"`
+	Profiling   bool  `help:"Serve the pages of net/http/pprof on the operator port." env:"GALENA_PROFILING"`
 
 	LogFormat string `help:"Log format: text or json." env:"GALENA_LOG_FORMAT" enum:"text,json" default:"text"`
 	LogLevel  string `help:"Lowest level logged: debug, info, warn or error." env:"GALENA_LOG_LEVEL" enum:"debug,info,warn,error" default:"info"`
@@ -73,6 +74,9 @@
 	checkOptionalAddress(&list, "--advertise-traffic", d.AdvertiseTraffic)
 	checkOptionalAddress(&list, "--advertise-control", d.AdvertiseControl)
 	checkOptionalAddress(&list, "--advertise-operator", d.AdvertiseOperator)
+	if d.MemoryLimit < 0 {
+		list.Addf(flag("--memory-limit"), "%d is negative", d.MemoryLimit)
+	}
 	return list
 }
 
