Poll partners of readers every 3 s

Cause: a reader spent 2.1 KB/s at full size, above the 2 KB/s of the target. Ruled out: a longer interval than needed; the scenarios with parted domains and a dead platform bound it (10 s).

--- a/internal/decision/rank/pace.go
+++ b/internal/decision/rank/pace.go
@@ -4,7 +4,7 @@
 
 const (
 	// partnerInterval is the time between two polls of a reader at its partners.
-	partnerInterval = 2 * time.Second
+	partnerInterval = 3 * time.Second
 	// minCompareInterval is the least time between two comparisons with a
 	// random node.
 	minCompareInterval = 15 * time.Second
