--- a/internal/model/outcome.go
+++ b/internal/model/outcome.go
@@ -42,23 +42,22 @@
 
 // The reasons of outcomes other than answered.
 const (
-	ReasonNoRoute          Reason = "no-route"           // no route matches host, path and method
-	ReasonNoServer         Reason = "no-server"          // no present and healthy server of the service
-	ReasonNotReady         Reason = "not-ready"          // the node has no configuration yet
-	ReasonStale            Reason = "stale"              // the process was paused and must synchronise first
-	ReasonLeaving          Reason = "leaving"            // the server is draining
-	ReasonBackendDown      Reason = "backend-down"       // the server refuses connections or fails its health check
-	ReasonQueueFull        Reason = "queue-full"         // the gate's queue has no room
-	ReasonLate             Reason = "late"               // the deadline passed or would pass in the queue
-	ReasonSuspect          Reason = "suspect"            // the request is a suspect and may run elsewhere only
-	ReasonQuarantined      Reason = "quarantined"        // the request crashed servers and is refused for a time
-	ReasonWrongIncarnation Reason = "wrong-incarnation"  // the node was restarted since the caller's node last saw it
-	ReasonDuplicate        Reason = "duplicate"          // an equal idempotency key is running or its answer is gone
-	ReasonTooLarge         Reason = "too-large"          // the request exceeds a size limit
-	ReasonUnreachable      Reason = "unreachable"        // no connection to the server's node
-	ReasonConnectionLost   Reason = "connection-lost"    // the connection broke after the first byte
-	ReasonDeadline         Reason = "deadline"           // no answer within the deadline
-	ReasonCrashed          Reason = "crashed"            // the server crashed while the request ran
-	ReasonCancelled        Reason = "cancelled"          // the caller went away
-	ReasonBudget           Reason = "retry-budget-spent" // the retry budget allows no further attempt
+	ReasonNoRoute          Reason = "no-route"          // no route matches host, path and method
+	ReasonNoServer         Reason = "no-server"         // no present and healthy server of the service
+	ReasonNotReady         Reason = "not-ready"         // the node has no configuration yet
+	ReasonStale            Reason = "stale"             // the process was paused and must synchronise first
+	ReasonLeaving          Reason = "leaving"           // the server is draining
+	ReasonBackendDown      Reason = "backend-down"      // the server refuses connections or fails its health check
+	ReasonQueueFull        Reason = "queue-full"        // the gate's queue has no room
+	ReasonLate             Reason = "late"              // the deadline passed or would pass in the queue
+	ReasonSuspect          Reason = "suspect"           // the request is a suspect and may run elsewhere only
+	ReasonQuarantined      Reason = "quarantined"       // the request crashed servers and is refused for a time
+	ReasonWrongIncarnation Reason = "wrong-incarnation" // the node was restarted since the caller's node last saw it
+	ReasonDuplicate        Reason = "duplicate"         // an equal idempotency key is running or its answer is gone
+	ReasonTooLarge         Reason = "too-large"         // the request exceeds a size limit
+	ReasonUnreachable      Reason = "unreachable"       // no connection to the server's node
+	ReasonConnectionLost   Reason = "connection-lost"   // the connection broke after the first byte
+	ReasonDeadline         Reason = "deadline"          // no answer within the deadline
+	ReasonCrashed          Reason = "crashed"           // the server crashed while the request ran
+	ReasonCancelled        Reason = "cancelled"         // the caller went away
 )
