--- a/internal/bench/mesh.go
+++ b/internal/bench/mesh.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/standin/mesh"
 	"github.com/galenalever/galenalever/internal/status"
 )
@@ -158,12 +159,5 @@
 
 // pause waits or returns the context's error.
 func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return clock.Wait(ctx, clock.System{}, d)
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -162,8 +162,8 @@
 func (Synchronised) MessageName() string { return "synchronised" }
 
 // Refreshed tells that the node became fresh: it synchronised for the first
-// time, or for the first time after a pause. Unlike Synchronised, which may
-// follow every answer, it comes once for each start and pause.
+// time, or for the first time after a pause. Unlike Synchronised, which both
+// senders may emit, it comes once for each start and pause.
 // Emitted by watchdog.
 type Refreshed struct{}
 
--- a/internal/ctl/runbook_run.go
+++ b/internal/ctl/runbook_run.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/galenalever/galenalever/internal/cli"
+	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/decision/runbook"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/status"
@@ -91,7 +92,7 @@
 			return eris.Errorf("step %d, %s: the outcome does not hold after %s at %d of the nodes, first: %s",
 				action.Number, action.Command, action.Timeout, len(unmet), unmet[0])
 		}
-		waitFor(ctx, r.interval)
+		_ = clock.Wait(ctx, clock.System{}, r.interval) // the loop checks the context
 	}
 }
 
--- a/internal/ctl/timeline.go
+++ b/internal/ctl/timeline.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/status"
 	"github.com/galenalever/galenalever/internal/timeline"
 )
@@ -40,7 +41,7 @@
 		events, replies := reader.next(ctx, addresses)
 		printEvents(w, events, c.JSON)
 		failed := printFailures(c.failureWriter(w), replies)
-		if !c.Follow || !waitFor(ctx, followInterval) {
+		if !c.Follow || clock.Wait(ctx, clock.System{}, followInterval) != nil {
 			return failed
 		}
 	}
@@ -62,18 +63,6 @@
 	return w
 }
 
-// waitFor waits and reports whether the context did not end.
-func waitFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // timelineReader remembers the last event seen of each node.
 type timelineReader struct {
 	client *status.Client
--- a/internal/standin/chaos/striker.go
+++ b/internal/standin/chaos/striker.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/standin/mesh"
 	"github.com/galenalever/galenalever/internal/standin/platform"
 )
@@ -60,24 +61,13 @@
 		s.killOne, s.killHerd, s.pauseOne, s.pauseOne, s.restartOne, s.restartOne,
 		s.failPlatform, s.publishRace, s.publishRace, s.crashServer, s.cutLink,
 	}
-	for waitFor(ctx, leastPause+s.upTo(spanOfPauses)) {
+	for clock.Wait(ctx, clock.System{}, leastPause+s.upTo(spanOfPauses)) == nil {
 		actions[s.random.IntN(len(actions))](repairCtx)
 	}
 	s.repairs.Wait()
 	s.publishAllGood()
 }
 
-func waitFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *striker) upTo(span time.Duration) time.Duration {
 	return time.Duration(s.random.Int64N(int64(span)))
 }
@@ -110,7 +100,7 @@
 func (s *striker) later(ctx context.Context, repair func()) {
 	after := leastFailure + s.upTo(spanOfFailures)
 	s.repairs.Go(func() {
-		waitFor(ctx, after)
+		_ = clock.Wait(ctx, clock.System{}, after) // the repair is due in any case
 		repair()
 	})
 }
@@ -151,7 +141,7 @@
 	s.later(ctx, func() {
 		s.mesh.Platform.SetMode(platform.Mode{})
 		s.mesh.Platform.SetStaleAt(old)
-		waitFor(ctx, stale)
+		_ = clock.Wait(ctx, clock.System{}, stale) // the repair is due in any case
 		s.mesh.Platform.SetMode(platform.Mode{})
 		s.logf("platform current again")
 		s.mu.Lock()
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/standin/load"
 	"github.com/galenalever/galenalever/internal/standin/mesh"
@@ -142,7 +143,7 @@
 	generator.Go(func() { r.generator.Run(loadCtx) })
 	defer generator.Wait()
 	defer stop()
-	if err := wait(ctx, loadBefore); err != nil {
+	if err := clock.Wait(ctx, clock.System{}, loadBefore); err != nil {
 		return 0, err
 	}
 	key := model.TeamKey("katalog")
@@ -159,18 +160,7 @@
 		return 0, eris.Wrap(err, "version 2")
 	}
 	fmt.Fprintf(r.Out, "version 2 is in force on all nodes %s after its publication\n", since(begin))
-	return second, wait(ctx, loadAfter)
-}
-
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return second, clock.Wait(ctx, clock.System{}, loadAfter)
 }
 
 func since(begin time.Time) time.Duration { return time.Since(begin).Round(time.Millisecond) }
