--- a/internal/standin/chaos/chaos_test.go
+++ b/internal/standin/chaos/chaos_test.go
@@ -15,6 +15,16 @@
 	if testing.Short() {
 		t.Skip("starts 14 processes")
 	}
+	bin := buildDaemon(t)
+	config := chaos.Config{Bin: bin, Seed: 1, Duration: 10 * time.Second, Out: t.Output()}
+	if err := chaos.Run(t.Context(), config); err != nil {
+		t.Error(err)
+	}
+}
+
+// buildDaemon builds the daemon and returns its folder.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
 	bin := t.TempDir()
 	program := filepath.Join(bin, "galenaleverd")
 	build := exec.CommandContext(t.Context(), "go", "build", "-o", program,
@@ -22,8 +32,5 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("building the daemon: %v\n%s", err, out)
 	}
-	config := chaos.Config{Bin: bin, Seed: 1, Duration: 10 * time.Second, Out: t.Output()}
-	if err := chaos.Run(t.Context(), config); err != nil {
-		t.Error(err)
-	}
+	return bin
 }
