Let the kernel post and wait; use the members' hash for seeds

Cause: source and exchange each had the same waitFor and the same loop that posts messages and waits until the last is handled; the daemon hashed instance IDs beside members.Hash, which does the same. Behaviour stays: the context's error is returned as before, and the seeds are equal.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/alecthomas/kong"
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenalever/galenalever/internal/cli"
 	"github.com/galenalever/galenalever/internal/clock"
@@ -96,9 +95,6 @@
 	}
 }
 
-// hash spreads an instance ID over the seeds of the random generators.
-func hash(text string) uint64 { return xxhash.Sum64String(text) }
-
 // drain announces that the instance leaves, waits for running requests and
 // stops the services.
 func drain(d *settings.Daemon, k *kernel.Kernel, log *slog.Logger) error {
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/decision/balance"
+	"github.com/galenalever/galenalever/internal/decision/members"
 	"github.com/galenalever/galenalever/internal/document"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
@@ -28,7 +29,7 @@
 // reverse order, so what takes requests comes last: first callers, then other
 // nodes, then the exchange that tells peers that the instance is gone.
 func services(d *settings.Daemon, self model.Self, l *listeners) []kernel.Service {
-	seed := uint64(self.Incarnation) ^ hash(string(self.ID))
+	seed := uint64(self.Incarnation) ^ members.Hash(self.ID)
 	events := timeline.New(timeline.Config{Instance: self.ID, Clock: clock.System{}})
 	return []kernel.Service{
 		operator.New(operator.Config{Listener: l.operator, Self: self, Profiling: d.Profiling}),
--- a/internal/kernel/loop.go
+++ b/internal/kernel/loop.go
@@ -62,6 +62,28 @@
 	}
 }
 
+// PostAndWait posts messages in order and returns when handled is closed, which
+// the handler of the last one does, or when the context ends, with the context's
+// error. It is for I/O goroutines.
+func (l *Loop) PostAndWait(ctx context.Context, handled <-chan struct{}, messages ...Message) error {
+	for _, m := range messages {
+		if err := l.Post(ctx, m); err != nil {
+			return err
+		}
+	}
+	return Await(ctx, handled)
+}
+
+// Await returns when done is closed or the context ends, with the context's
+// error.
+func Await(ctx context.Context, done <-chan struct{}) error {
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
 // TryPost sends a message if there is room and reports whether it did. It never
 // blocks, so traffic goroutines use it for samples that may be lost.
 func (l *Loop) TryPost(m Message) bool {
--- a/internal/service/exchange/exchange.go
+++ b/internal/service/exchange/exchange.go
@@ -191,9 +191,7 @@
 // so that others learn of the end of this node.
 func (s *Service) Stop(ctx context.Context) error {
 	handled := barrier{handled: make(chan struct{})}
-	if s.loop.Post(ctx, handled) == nil {
-		waitFor(ctx, handled.handled)
-	}
+	_ = s.loop.PostAndWait(ctx, handled.handled, handled) // flush itself ends with the context
 	s.outbox.flush(ctx)
 	close(s.stopping)
 	s.cancel()
--- a/internal/service/exchange/outbox.go
+++ b/internal/service/exchange/outbox.go
@@ -7,6 +7,7 @@
 
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/decision/rank"
+	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/wire"
 	"github.com/galenalever/galenalever/internal/wire/wireconv"
@@ -140,5 +141,5 @@
 		o.running.Wait()
 		close(idle)
 	}()
-	waitFor(ctx, idle)
+	_ = kernel.Await(ctx, idle)
 }
--- a/internal/service/exchange/poller.go
+++ b/internal/service/exchange/poller.go
@@ -35,13 +35,13 @@
 	for ctx.Err() == nil {
 		role, changed := s.role.Watch()
 		if role.upstream.address == "" {
-			waitFor(ctx, changed)
+			_ = kernel.Await(ctx, changed)
 			continue
 		}
 		roleCtx, cancel := context.WithCancel(ctx)
 		s.tasks.Go(func() {
 			defer cancel()
-			waitFor(roleCtx, changed)
+			_ = kernel.Await(roleCtx, changed)
 		})
 		answered := s.follow(roleCtx, role)
 		cancel()
@@ -86,29 +86,7 @@
 		failed.retryAfter = refused.retryAfter
 		delay = refused.retryAfter
 	}
-	if s.loop.Post(ctx, failed) == nil {
-		waitFor(ctx, failed.handled)
+	if s.loop.PostAndWait(ctx, failed.handled, failed) == nil {
 		_ = clock.Wait(ctx, s.clock, delay)
 	}
 }
-
-// postAndWait posts messages and returns when all of them have been handled.
-func (s *Service) postAndWait(ctx context.Context, done pollDone, messages ...kernel.Message) error {
-	for _, m := range messages {
-		if err := s.loop.Post(ctx, m); err != nil {
-			return err
-		}
-	}
-	if err := s.loop.Post(ctx, done); err != nil {
-		return err
-	}
-	waitFor(ctx, done.handled)
-	return ctx.Err()
-}
-
-func waitFor(ctx context.Context, done <-chan struct{}) {
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
--- a/internal/service/exchange/question.go
+++ b/internal/service/exchange/question.go
@@ -111,7 +111,7 @@
 		messages = append(messages, control.DeltaReceived{From: origin, Delta: delta})
 	}
 	done := pollDone{from: p, round: ask.round, handled: make(chan struct{})}
-	if err := s.postAndWait(ctx, done, messages...); err != nil {
+	if err := s.loop.PostAndWait(ctx, done.handled, append(messages, done)...); err != nil {
 		return err
 	}
 	if !ask.compare {
--- a/internal/service/source/keys.go
+++ b/internal/service/source/keys.go
@@ -98,7 +98,7 @@
 		if state != nil && state.Cut.Revision >= listed {
 			return
 		}
-		waitFor(ctx, changed)
+		_ = kernel.Await(ctx, changed)
 	}
 }
 
--- a/internal/service/source/source.go
+++ b/internal/service/source/source.go
@@ -216,13 +216,13 @@
 	for ctx.Err() == nil {
 		current, changed := s.order.Watch()
 		if current.scope < need {
-			waitFor(ctx, changed)
+			_ = kernel.Await(ctx, changed)
 			continue
 		}
 		orderCtx, cancel := context.WithCancel(ctx)
 		s.tasks.Go(func() {
 			defer cancel()
-			waitFor(orderCtx, changed)
+			_ = kernel.Await(orderCtx, changed)
 		})
 		s.settle(orderCtx, rng)
 		watch(orderCtx, retry, current)
@@ -252,22 +252,10 @@
 
 // post hands messages to the control loop and waits until they are handled.
 func (s *Service) post(ctx context.Context, done read, messages ...kernel.Message) {
-	for _, m := range append(messages, done) {
-		if s.loop.Post(ctx, m) != nil {
-			return
-		}
-	}
-	waitFor(ctx, done.handled)
+	_ = s.loop.PostAndWait(ctx, done.handled, append(messages, done)...) // the caller's loop checks the context
 }
 
 func (s *Service) random(purpose string) *rand.Rand {
 	stream := members.Hash(s.config.Self.ID) ^ members.Hash(model.InstanceID(purpose))
 	return rand.New(rand.NewPCG(s.config.RandomSeed, stream))
 }
-
-func waitFor(ctx context.Context, done <-chan struct{}) {
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
