--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,8 +18,12 @@
 	"github.com/galenalever/galenalever/internal/cli"
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/retry"
+	"github.com/galenalever/galenalever/internal/document"
+	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/service/source"
 	"github.com/galenalever/galenalever/internal/settings"
 )
 
@@ -28,24 +32,61 @@
 	Version kong.VersionFlag `help:"Print the version."`
 }
 
-// Main runs a node and returns the exit code.
+// Main runs a node with settings from flags and the environment, in the
+// product's own protocols, and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var line commandLine
 	_, code, done := cli.Parse(&line, "galenaleverd", "The node beside one backend server.", args, stdout, stderr)
 	if done {
 		return code
 	}
-	if err := line.Check().Err(); err != nil {
+	surroundings := Surroundings{
+		Platform: source.NewClient(line.Platform),
+		Parse:    document.NewSubtree,
+		Headers:  frontend.Native{},
+		Reload: func(log *slog.Logger) {
+			log.Info("the settings are flags and environment variables; a change needs a restart")
+		},
+	}
+	return Run(&line.Daemon, surroundings, stdout, stderr)
+}
+
+// Surroundings are what a node meets that depends on where it runs.
+type Surroundings struct {
+	// Platform reads the configuration service.
+	Platform source.Platform
+	// Parse makes subtrees of the platform's values.
+	Parse source.Parse
+	// Headers is the protocol of callers and servers.
+	Headers frontend.Headers
+	// Pacing bounds the calls to the platform; source.DefaultPacing if zero.
+	Pacing source.Pacing
+	// RetryLimits bound the retries over all nodes; none if zero.
+	RetryLimits retry.Limits
+	// Reload is called after SIGHUP.
+	Reload func(*slog.Logger)
+}
+
+// Run checks the settings, runs a node until SIGTERM or an interrupt, and
+// returns the exit code. Logs go to stdout, faults of the settings to stderr.
+func Run(d *settings.Daemon, where Surroundings, stdout, stderr io.Writer) int {
+	if err := d.Check().Err(); err != nil {
 		fmt.Fprintln(stderr, err)
 		return cli.ExitUsage
 	}
-	log := newLogger(&line.Daemon, stderr)
-	if line.MemoryLimit > 0 {
-		debug.SetMemoryLimit(line.MemoryLimit << 20)
+	log := newLogger(d, stdout)
+	if d.MemoryLimit > 0 {
+		debug.SetMemoryLimit(d.MemoryLimit << 20)
+	}
+	if d.GarbagePercent > 0 {
+		debug.SetGCPercent(d.GarbagePercent)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx, &line.Daemon, log); err != nil {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	if err := run(ctx, d, where, hangups, log); err != nil {
 		log.Error("node failed", "error", err)
 		return cli.ExitFailure
 	}
@@ -64,7 +105,7 @@
 }
 
 // run starts the node and waits for the end of ctx, then drains and stops.
-func run(ctx context.Context, d *settings.Daemon, log *slog.Logger) error {
+func run(ctx context.Context, d *settings.Daemon, where Surroundings, hangups <-chan os.Signal, log *slog.Logger) error {
 	l, err := openListeners(d)
 	if err != nil {
 		return err
@@ -72,16 +113,24 @@
 	defer l.close()
 	self := identity(d, l, time.Now())
 	k := kernel.New(clock.System{}, log)
-	if err := k.Register(services(d, self, l)...); err != nil {
+	if err := k.Register(services(d, where, self, l)...); err != nil {
 		return err
 	}
 	if err := k.Start(ctx); err != nil {
 		return err
 	}
-	log.Info("listening", "callers", l.callers.Addr().String(), "traffic", l.traffic.Addr().String(),
+	log.Info("node started", "service", self.Service, "domain", self.Domain, "incarnation", self.Incarnation,
+		"callers", l.callers.Addr().String(), "traffic", l.traffic.Addr().String(),
 		"control", l.control.Addr().String(), "operator", l.operator.Addr().String())
-	<-ctx.Done()
-	return drain(d, k, log)
+	for {
+		select {
+		case <-hangups:
+			log.Info("reload requested by signal")
+			where.Reload(log)
+		case <-ctx.Done():
+			return drain(d, k, log)
+		}
+	}
 }
 
 // identity returns who this process is.
@@ -95,16 +144,19 @@
 	}
 }
 
-// drain announces that the instance leaves, waits for running requests and
-// stops the services.
+// drain announces that the instance leaves, goes on taking callers until they
+// have been sent elsewhere, waits for running requests and stops the services.
 func drain(d *settings.Daemon, k *kernel.Kernel, log *slog.Logger) error {
 	ctx, cancel := context.WithTimeout(context.Background(), d.DrainTimeout)
 	defer cancel()
-	log.Info("draining", "at most", d.DrainTimeout)
+	log.Info("draining", "at_most", d.DrainTimeout)
 	if err := k.Loop().Post(ctx, control.PresenceChanged{Presence: model.PresenceLeaving}); err != nil {
 		return err
 	}
+	if err := clock.Wait(ctx, clock.System{}, d.DrainLead); err != nil {
+		return err
+	}
 	err := k.Stop(ctx)
-	log.Info("stopped")
+	log.Info("node stopped", "complete", err == nil)
 	return err
 }
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -4,7 +4,6 @@
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/decision/balance"
 	"github.com/galenalever/galenalever/internal/decision/members"
-	"github.com/galenalever/galenalever/internal/document"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/service/backend"
@@ -28,21 +27,22 @@
 // services returns the services of a node in start order. They stop in the
 // reverse order, so what takes requests comes last: first callers, then other
 // nodes, then the exchange that tells peers that the instance is gone.
-func services(d *settings.Daemon, self model.Self, l *listeners) []kernel.Service {
+func services(d *settings.Daemon, where Surroundings, self model.Self, l *listeners) []kernel.Service {
 	seed := uint64(self.Incarnation) ^ members.Hash(self.ID)
 	events := timeline.New(timeline.Config{Instance: self.ID, Clock: clock.System{}})
 	return []kernel.Service{
 		operator.New(operator.Config{Listener: l.operator, Self: self, Profiling: d.Profiling}),
 		events,
 		metrics.New(metrics.Config{Tags: map[string]string{"service": string(self.Service), "domain": string(self.Domain)}}),
-		watchdog.New(),
+		watchdog.New(watchdog.Config{MaxStale: d.MaxStale}),
 		config.New(d.BootstrapFor),
-		membership.New(membership.Config{Self: self}),
+		membership.New(membership.Config{Self: self, Unlisted: d.Direct}),
 		source.New(source.Config{
 			Self:       self,
-			Platform:   source.NewClient(d.Platform),
-			Parse:      document.NewSubtree,
+			Platform:   where.Platform,
+			Parse:      where.Parse,
 			RandomSeed: seed,
+			Pacing:     where.Pacing,
 		}),
 		exchange.New(exchange.Config{
 			Self:         self,
@@ -50,18 +50,23 @@
 			Seeds:        d.Peers,
 			BootstrapFor: d.BootstrapFor,
 			RandomSeed:   seed,
+			Direct:       d.Direct,
 		}),
 		routing.New(),
 		balancer.New(balancer.Config{Self: self, Policy: balance.Policy(d.Balancer)}),
-		forward.New(forward.Config{Time: events.Clock()}),
-		backend.New(backend.Config{URL: d.Backend, HealthPath: d.HealthPath, HealthInterval: d.HealthInterval}),
+		forward.New(forward.Config{Origin: self.Service, Limits: where.RetryLimits, Time: events.Clock()}),
+		backend.New(backend.Config{
+			URL: d.Backend, HealthPath: d.HealthPath, HealthInterval: d.HealthInterval,
+			Passive: d.PassiveHealth, Service: self.Service,
+		}),
 		quarantine.New(quarantine.Config{Self: self}),
 		gate.New(gate.Config{
 			Self:       self,
 			Listener:   l.traffic,
 			Timestamps: events.Clock(),
+			Headers:    where.Headers,
 			KeepLate:   d.Admission == settings.AdmissionUnbounded,
 		}),
-		ingress.New(ingress.Config{Self: self, Listener: l.callers}),
+		ingress.New(ingress.Config{Self: self, Listener: l.callers, Headers: where.Headers}),
 	}
 }
--- a/internal/decision/accept/check.go
+++ b/internal/decision/accept/check.go
@@ -67,12 +67,15 @@
 
 // checkService finds a route whose service is not declared.
 func (x *index) checkService(key model.Key, route *model.Route) []violation {
-	if _, ok := x.services[route.Service]; ok {
-		return nil
+	var out []violation
+	for _, name := range route.Destinations() {
+		if _, ok := x.services[name]; ok {
+			continue
+		}
+		blamed := []model.Key{key, model.TeamKey(name.Team())}
+		out = append(out, newViolation(routePlace(key, route, ".service"), blamed, "service %q is not declared", name))
 	}
-	owner := model.TeamKey(route.Service.Team())
-	return []violation{newViolation(routePlace(key, route, ".service"), []model.Key{key, owner},
-		"service %q is not declared", route.Service)}
+	return out
 }
 
 // checkGrant finds claims outside the team's grant.
--- a/internal/decision/accept/index.go
+++ b/internal/decision/accept/index.go
@@ -111,24 +111,26 @@
 
 func (x *index) addUses(key model.Key, p *part) {
 	for _, route := range p.declarations.Routes {
-		users := x.users[route.Service]
-		if users == nil {
-			users = map[model.Key]int{}
-			x.users[route.Service] = users
+		for _, name := range route.Destinations() {
+			if x.users[name] == nil {
+				x.users[name] = map[model.Key]int{}
+			}
+			x.users[name][key]++
 		}
-		users[key]++
 	}
 }
 
 func (x *index) removeUses(key model.Key, p *part) {
 	for _, route := range p.declarations.Routes {
-		users := x.users[route.Service]
-		users[key]--
-		if users[key] == 0 {
-			delete(users, key)
-		}
-		if len(users) == 0 {
-			delete(x.users, route.Service)
+		for _, name := range route.Destinations() {
+			users := x.users[name]
+			users[key]--
+			if users[key] == 0 {
+				delete(users, key)
+			}
+			if len(users) == 0 {
+				delete(x.users, name)
+			}
 		}
 	}
 }
--- a/internal/decision/members/merge.go
+++ b/internal/decision/members/merge.go
@@ -14,7 +14,7 @@
 	}
 	if received.ListedAt > merged.ListedAt {
 		merged.Listed, merged.ListedAt = received.Listed, received.ListedAt
-		if merged.Announced.Presence == model.PresenceUnknown {
+		if merged.Announced.Presence == model.PresenceUnknown && received.Service != "" {
 			adoptAttributes(&merged, received)
 		}
 	}
@@ -27,6 +27,8 @@
 	m.Service = listed.Service
 	m.Domain = listed.Domain
 	m.Addresses = listed.Addresses
+	m.Slots = listed.Slots
+	m.Started = listed.Started
 }
 
 // Departed reports whether the instance is gone for good, unless it returns
--- a/internal/decision/retry/retry.go
+++ b/internal/decision/retry/retry.go
@@ -15,6 +15,9 @@
 	Idempotent bool
 	// Attempts is the largest number of attempts, the first included.
 	Attempts int
+	// Refusals is the number of further attempts that are allowed while gates
+	// refuse the request and not Attempts servers have seen it.
+	Refusals int
 }
 
 // Progress is the state of a request after an attempt.
@@ -22,6 +25,8 @@
 	// Attempts counts the attempts so far, Questions those of them that asked
 	// the same gate again.
 	Attempts, Questions int
+	// Reached counts the attempts that reached a server, run or not.
+	Reached int
 	// TimeLeft is the time until the deadline.
 	TimeLeft time.Duration
 	// Replayable is true if the whole body can be sent again.
@@ -41,6 +46,11 @@
 	RetryAfter time.Duration
 }
 
+// ReachedServer reports whether a server may have seen the request.
+func (r Result) ReachedServer() bool {
+	return r.Outcome != model.OutcomeNotRun || r.Reason == model.ReasonServerRefused
+}
+
 // Action is what follows an attempt.
 type Action uint8
 
@@ -90,7 +100,7 @@
 		return Decision{Action: Finish}
 	case p.Questions > 0 || r.Outcome == model.OutcomeUnknown && !q.Idempotent:
 		return question(p, r, random)
-	case !p.Replayable || p.Attempts >= limit(q, r) || !mayMove(r):
+	case !p.Replayable || exhausted(q, p, r) || !mayMove(r):
 		return Decision{Action: Finish}
 	case p.Alone:
 		return Decision{Action: SendAgain, Delay: max(r.RetryAfter, backoff(p.Attempts+1, random))}
@@ -121,6 +131,19 @@
 	}
 }
 
+// DefaultRefusals suits a mesh that bounds the arrivals at servers: asking one
+// more gate for room costs little.
+const DefaultRefusals = 4
+
+// exhausted reports whether no further attempt is allowed.
+func exhausted(q Request, p Progress, r Result) bool {
+	allowed := limit(q, r)
+	if p.Reached < allowed {
+		allowed += q.Refusals
+	}
+	return p.Attempts >= allowed
+}
+
 // suspectAttempts bounds the attempts of a request that gates refuse as suspect.
 const suspectAttempts = 8
 
--- a/internal/decision/route/bench_test.go
+++ b/internal/decision/route/bench_test.go
@@ -37,7 +37,7 @@
 	table := route.Empty().WithTree(tree, func(n model.ServiceName) []model.Member { return members[n] })
 	b.ReportAllocs()
 	for b.Loop() {
-		if table.Lookup("shop.example", "/team200/api/service2000/units/17", "GET").Result != route.Matched {
+		if table.Lookup("shop.example", "/team200/api/service2000/units/17", "GET", 0).Result != route.Matched {
 			b.Fatal("no match")
 		}
 	}
--- a/internal/decision/route/endpoint.go
+++ b/internal/decision/route/endpoint.go
@@ -13,6 +13,8 @@
 	Instance model.InstanceID
 	// Incarnation is 0 while the instance has not announced itself.
 	Incarnation model.Incarnation
+	// Started is the life of the server as the platform lists it; 0 if unknown.
+	Started model.Incarnation
 }
 
 // Endpoint is a present backend server, reached through the node beside it. Its
@@ -22,6 +24,9 @@
 	Domain model.FailureDomain
 	// Address is the traffic address of the node.
 	Address string
+	// Slots is the number of requests that the server runs at a time; 0 means
+	// that the service's declaration holds.
+	Slots int
 }
 
 // Destination is a service with its present endpoints. It is immutable and
@@ -58,9 +63,10 @@
 			continue
 		}
 		endpoints = append(endpoints, &Endpoint{
-			ID:      EndpointID{Instance: m.ID, Incarnation: m.Announced.Incarnation},
+			ID:      EndpointID{Instance: m.ID, Incarnation: m.Announced.Incarnation, Started: m.Started},
 			Domain:  m.Domain,
 			Address: m.Addresses.Traffic,
+			Slots:   m.Slots,
 		})
 	}
 	slices.SortFunc(endpoints, func(a, b *Endpoint) int { return cmp.Compare(a.ID.Instance, b.ID.Instance) })
--- a/internal/decision/route/table.go
+++ b/internal/decision/route/table.go
@@ -71,7 +71,8 @@
 
 // closedRoutes returns the routes of the tree whose service is declared.
 func closedRoutes(tree *model.Tree) []*model.Route {
-	dangling := func(r *model.Route) bool { return tree.Services[r.Service] == nil }
+	undeclared := func(name model.ServiceName) bool { return tree.Services[name] == nil }
+	dangling := func(r *model.Route) bool { return slices.ContainsFunc(r.Destinations(), undeclared) }
 	if !slices.ContainsFunc(tree.Routes, dangling) {
 		return tree.Routes
 	}
@@ -127,12 +128,13 @@
 
 // Lookup finds the route of a request. The host is in canonical form. The
 // routes of the exact host go before those for any host; among them the
-// longest path prefix wins, whatever its methods.
-func (t *Table) Lookup(host, path, method string) Match {
+// longest path prefix wins, whatever its methods. The number of the request
+// selects the destination of a route with several.
+func (t *Table) Lookup(host, path, method string, number uint64) Match {
 	routes := t.index.lookup(host, path)
 	for _, r := range routes {
 		if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
-			return Match{Result: Matched, Route: r, Destination: t.Destination(r.Service)}
+			return Match{Result: Matched, Route: r, Destination: t.destinationOf(r, number)}
 		}
 	}
 	if len(routes) > 0 {
--- a/internal/decision/route/table_test.go
+++ b/internal/decision/route/table_test.go
@@ -56,7 +56,7 @@
 
 func lookup(table *route.Table, fields []string) string {
 	host, path := route.CanonicalHost(fields[1]), fields[2]
-	match := table.Lookup(host, path, fields[0])
+	match := table.Lookup(host, path, fields[0], 0)
 	switch match.Result {
 	case route.Matched:
 		return match.Route.Name + " -> " + string(match.Destination.Service.Name)
@@ -147,7 +147,7 @@
 // checkClosed verifies that every route leads to a destination of the table.
 func checkClosed(t *rapid.T, table *route.Table, tree *model.Tree) {
 	for _, r := range tree.Routes {
-		match := table.Lookup("", r.PathPrefix, "GET")
+		match := table.Lookup("", r.PathPrefix, "GET", 0)
 		if match.Result != route.Matched || match.Destination != table.Destination(match.Route.Service) {
 			t.Fatalf("route %s is not closed", r.Name)
 		}
--- a/internal/distribution/node_test.go
+++ b/internal/distribution/node_test.go
@@ -44,7 +44,7 @@
 func startNode(m *mesh, self model.Self, seed uint64) *node {
 	n := newNode(self)
 	n.membership = membership.New(membership.Config{Self: self})
-	n.watchdog = watchdog.New()
+	n.watchdog = watchdog.New(watchdog.Config{})
 	n.config = config.New(bootstrapFor)
 	n.exchange = exchange.New(exchange.Config{
 		Self:         self,
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -47,7 +47,7 @@
 		r.list.Sort()
 		return nil, bounded(r.list, r.source)
 	}
-	return encode(declarations), nil
+	return Encode(declarations), nil
 }
 
 func bounded(list findings.List, source string) findings.List {
@@ -68,8 +68,8 @@
 	commandsPath = "commands/"
 )
 
-// encode returns the canonical leaves of the declarations, sorted by path.
-func encode(declarations model.Declarations) []model.Leaf {
+// Encode returns the canonical leaves of the declarations, sorted by path.
+func Encode(declarations model.Declarations) []model.Leaf {
 	leaves := make([]model.Leaf, 0, len(declarations.Services)+len(declarations.Routes)+len(declarations.Grants))
 	for _, service := range declarations.Services {
 		leaves = append(leaves, leaf(servicesPath+shortName(service.Name), service))
--- /dev/null
+++ b/internal/frontend/native.go
@@ -0,0 +1,58 @@
+package frontend
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/galenalever/galenalever/internal/hop"
+)
+
+// HeaderTimeout is the header in which a caller says, in milliseconds, how long
+// it waits for the answer. The route's deadline holds if it is shorter.
+const HeaderTimeout = "X-Request-Timeout-Ms"
+
+// Native is the node's own protocol: a caller may set HeaderTimeout, refusals
+// carry outcome and reason, and servers are told nothing.
+type Native struct{}
+
+// Caller implements Headers.
+func (Native) Caller(h http.Header) (CallerRequest, error) {
+	value := h.Get(HeaderTimeout)
+	if value == "" {
+		return CallerRequest{}, nil
+	}
+	timeout, err := ParseMilliseconds(value)
+	if err != nil {
+		return CallerRequest{}, eris.Wrapf(err, "header %s", HeaderTimeout)
+	}
+	return CallerRequest{Timeout: timeout}, nil
+}
+
+// ParseMilliseconds reads a positive duration in whole milliseconds.
+func ParseMilliseconds(text string) (time.Duration, error) {
+	const base, bits = 10, 32
+	n, err := strconv.ParseUint(text, base, bits)
+	if err != nil || n == 0 {
+		return 0, eris.Errorf("%q is not a positive number of milliseconds", text)
+	}
+	return time.Duration(n) * time.Millisecond, nil
+}
+
+// Refuse implements Headers.
+func (Native) Refuse(h http.Header, r Refusal) {
+	h.Set(hop.HeaderOutcome, r.Outcome.String())
+	h.Set(hop.HeaderReason, string(r.Reason))
+	if r.RetryAfter > 0 {
+		seconds := (r.RetryAfter + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+}
+
+// ToServer implements Headers.
+func (Native) ToServer(http.Header, ServerRequest) {}
+
+// FromServer implements Headers.
+func (Native) FromServer(int, http.Header) ServerAnswer { return ServerAnswer{Anonymous: true} }
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -18,6 +18,9 @@
 const (
 	HeaderRequestID   = "Galena-Request-Id"
 	HeaderService     = "Galena-Service"
+	HeaderTarget      = "Galena-Target"
+	HeaderOrigin      = "Galena-Origin"
+	HeaderPriority    = "Galena-Priority"
 	HeaderRoute       = "Galena-Route"
 	HeaderClass       = "Galena-Class"
 	HeaderIdempotent  = "Galena-Idempotent"
@@ -38,10 +41,16 @@
 
 // Request is what the caller's node tells the gate.
 type Request struct {
-	ID         model.RequestID
-	Service    model.ServiceName
-	Route      string
-	Class      model.Class
+	ID      model.RequestID
+	Service model.ServiceName
+	// Target is the instance that the caller's node has chosen.
+	Target model.InstanceID
+	// Origin is the service of the instance where the request began.
+	Origin model.ServiceName
+	Route  string
+	Class  model.Class
+	// Priority ranks the request; 0 is the most urgent.
+	Priority   int
 	Idempotent bool
 	// Attempt counts from 1.
 	Attempt int
@@ -57,6 +66,9 @@
 func (r Request) Encode(h http.Header) {
 	h.Set(HeaderRequestID, string(r.ID))
 	h.Set(HeaderService, string(r.Service))
+	h.Set(HeaderTarget, string(r.Target))
+	h.Set(HeaderOrigin, string(r.Origin))
+	h.Set(HeaderPriority, strconv.Itoa(r.Priority))
 	h.Set(HeaderRoute, r.Route)
 	h.Set(HeaderClass, string(r.Class))
 	h.Set(HeaderIdempotent, strconv.FormatBool(r.Idempotent))
@@ -72,17 +84,21 @@
 	r := Request{
 		ID:         model.RequestID(h.Get(HeaderRequestID)),
 		Service:    model.ServiceName(h.Get(HeaderService)),
+		Target:     model.InstanceID(h.Get(HeaderTarget)),
+		Origin:     model.ServiceName(h.Get(HeaderOrigin)),
 		Route:      h.Get(HeaderRoute),
 		Class:      model.Class(h.Get(HeaderClass)),
 		Idempotent: h.Get(HeaderIdempotent) == "true",
 	}
 	var ok [4]bool
-	var attempt, incarnation, now int64
+	var attempt, incarnation, now, priority int64
+	priority, _ = number(h, HeaderPriority) // a request without one is the most urgent
 	attempt, ok[0] = number(h, HeaderAttempt)
 	r.Timeout, ok[1] = microseconds(h, HeaderTimeout)
 	incarnation, ok[2] = number(h, HeaderIncarnation)
 	now, ok[3] = number(h, HeaderTime)
 	r.Attempt = int(attempt)
+	r.Priority = int(priority)
 	r.Incarnation = model.Incarnation(incarnation)
 	r.Time = timeline.Timestamp(now)
 	valid := r.ID != "" && r.Service != "" && ok == [4]bool{true, true, true, true}
--- a/internal/model/member.go
+++ b/internal/model/member.go
@@ -99,6 +99,11 @@
 	// Listed is the platform's state at ListedAt; the greater revision wins.
 	Listed   Listing  `json:"listed"`
 	ListedAt Revision `json:"listed_at"`
+	// Slots is the number of requests that the server runs at a time; 0 means
+	// that the service's declaration holds.
+	Slots int `json:"slots,omitempty"`
+	// Started tells the lives of a listed server apart; 0 means unknown.
+	Started Incarnation `json:"started,omitempty"`
 }
 
 // Present reports whether new requests may be sent to the instance.
--- a/internal/model/outcome.go
+++ b/internal/model/outcome.go
@@ -49,6 +49,8 @@
 	ReasonLeaving          Reason = "leaving"           // the server is draining
 	ReasonBackendDown      Reason = "backend-down"      // the server refuses connections or fails its health check
 	ReasonQueueFull        Reason = "queue-full"        // the gate's queue has no room
+	ReasonServerRefused    Reason = "server-refused"    // the server itself said that it did not run the request
+	ReasonBrokenAnswer     Reason = "broken-answer"     // the server's answer is not whole or belongs to another request
 	ReasonLate             Reason = "late"              // the deadline passed or would pass in the queue
 	ReasonSuspect          Reason = "suspect"           // the request is a suspect and may run elsewhere only
 	ReasonQuarantined      Reason = "quarantined"       // the request crashed servers and is refused for a time
--- a/internal/model/tree.go
+++ b/internal/model/tree.go
@@ -25,6 +25,9 @@
 	SlowStart time.Duration `json:"slow_start_ns"`
 	// DrainTimeout bounds how long a leaving server finishes running requests.
 	DrainTimeout time.Duration `json:"drain_timeout_ns"`
+	// HealthPath is the path of the servers' health check; empty means the one
+	// of the node's own settings.
+	HealthPath string `json:"health_path,omitempty"`
 }
 
 // Class separates requests by their expected run time.
@@ -49,26 +52,56 @@
 	PathPrefix string `json:"path_prefix"`
 	// Methods are HTTP methods; empty means all.
 	Methods []string `json:"methods,omitempty"`
-	// Service is the destination.
-	Service ServiceName `json:"service"`
+	// Service is the destination. It is empty if Split is set.
+	Service ServiceName `json:"service,omitempty"`
+	// Split distributes the requests over several services by weight.
+	Split []WeightedService `json:"split,omitempty"`
 	// Idempotent states that running a request twice does no harm.
 	Idempotent bool `json:"idempotent"`
 	// Class selects the slots that the requests may hold.
 	Class Class `json:"class"`
 	// Deadline bounds a request from its arrival to the end of its answer.
 	Deadline time.Duration `json:"deadline_ns"`
+	// Objective is the latency within which an answer is of full use; 0 means
+	// that none is set.
+	Objective time.Duration `json:"objective_ns,omitempty"`
+	// Priority ranks the requests at a server that is short of slots; 0 is the
+	// most urgent.
+	Priority int `json:"priority,omitempty"`
 	// MaxBody is the largest request body in bytes.
 	MaxBody int64 `json:"max_body"`
 	Retry   Retry `json:"retry"`
 	Hedge   Hedge `json:"hedge"`
 }
 
+// WeightedService is one of several destinations of a route.
+type WeightedService struct {
+	Service ServiceName `json:"service"`
+	// Weight is the share of the requests relative to the other weights.
+	Weight int `json:"weight"`
+}
+
+// Destinations returns the services that the route may send requests to.
+func (r *Route) Destinations() []ServiceName {
+	if len(r.Split) == 0 {
+		return []ServiceName{r.Service}
+	}
+	names := make([]ServiceName, len(r.Split))
+	for i, part := range r.Split {
+		names[i] = part.Service
+	}
+	return names
+}
+
 // Retry bounds the further attempts of a request.
 type Retry struct {
 	// Attempts is the largest number of attempts, the first included.
 	Attempts int `json:"attempts"`
 	// BudgetPercent bounds retries as a share of recent requests of the route.
 	BudgetPercent int `json:"budget_percent"`
+	// Refusals is the number of further attempts while gates refuse the request
+	// and no more than Attempts servers have seen it.
+	Refusals int `json:"refusals,omitempty"`
 }
 
 // Hedge sends an idempotent request to a second server when the first is slow.
--- a/internal/service/backend/backend.go
+++ b/internal/service/backend/backend.go
@@ -16,6 +16,7 @@
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/health"
 	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
 )
 
@@ -32,6 +33,17 @@
 	HealthPath string
 	// HealthInterval is the time between two health checks.
 	HealthInterval time.Duration
+	// Passive is true if the server is taken as healthy until a request shows
+	// otherwise, and checked only until it has recovered.
+	Passive bool
+	// Service is the service of the server; its declaration may name another
+	// HealthPath.
+	Service model.ServiceName
+}
+
+// configurations is the part of the config service that this service uses.
+type configurations interface {
+	Configuration() *kernel.Snapshot[*model.Configuration]
 }
 
 // Service implements the kernel's service "backend".
@@ -49,6 +61,7 @@
 	clock             clock.Clock
 	log               *slog.Logger
 	timeline          recorder
+	declared          *kernel.Snapshot[*model.Configuration] // nil if the node has none
 	done              chan struct{}
 }
 
@@ -77,6 +90,9 @@
 	if s.timeline, err = kernel.Find[recorder](c, control.Timeline); err != nil {
 		return err
 	}
+	if config, err := kernel.Find[configurations](c, control.Config); err == nil {
+		s.declared = config.Configuration()
+	}
 	kernel.Subscribe(c.Loop, s.handleChecked)
 	return nil
 }
--- a/internal/service/backend/check.go
+++ b/internal/service/backend/check.go
@@ -9,6 +9,7 @@
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/health"
+	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
 )
@@ -16,6 +17,8 @@
 const (
 	// startInterval is the time between checks until the server is ready first.
 	startInterval = 100 * time.Millisecond
+	// recheckInterval is the time between checks of a server that has failed.
+	recheckInterval = 500 * time.Millisecond
 	// checkTimeout bounds a health check.
 	checkTimeout = time.Second
 	// crashProbeTimeout bounds the check that follows a broken connection.
@@ -44,6 +47,10 @@
 	if s.loop.Post(ctx, starting) != nil {
 		return
 	}
+	if s.config.Passive {
+		s.checkFailed(ctx)
+		return
+	}
 	for s.loop.Post(ctx, checked{result: s.check(ctx, checkTimeout)}) == nil {
 		if !s.pause(ctx) {
 			return
@@ -51,6 +58,36 @@
 	}
 }
 
+// checkFailed takes the server as healthy, and checks it whenever a request
+// has shown otherwise, until it is healthy again.
+func (s *Service) checkFailed(ctx context.Context) {
+	if s.loop.Post(ctx, checked{result: health.OK}) != nil {
+		return
+	}
+	for ctx.Err() == nil {
+		state, changed := s.state.Watch()
+		if state != health.Unhealthy {
+			_ = kernel.Await(ctx, changed) // the loop checks the context
+			continue
+		}
+		if clock.Wait(ctx, s.clock, recheckInterval) == nil {
+			_ = s.loop.Post(ctx, checked{result: s.check(ctx, checkTimeout)})
+		}
+	}
+}
+
+// healthPath returns the path of the server's health check.
+func (s *Service) healthPath() string {
+	if s.declared != nil {
+		if c := s.declared.Load(); c != nil && c.Tree != nil {
+			if declared := c.Tree.Services[s.config.Service]; declared != nil && declared.HealthPath != "" {
+				return declared.HealthPath
+			}
+		}
+	}
+	return s.config.HealthPath
+}
+
 // pause waits until the next check is due and reports false if the context
 // ended.
 func (s *Service) pause(ctx context.Context) bool {
@@ -72,7 +109,7 @@
 func (s *Service) check(ctx context.Context, timeout time.Duration) health.Result {
 	ctx, cancel := clock.WithTimeout(ctx, s.clock, timeout)
 	defer cancel()
-	target := s.base.JoinPath(s.config.HealthPath)
+	target := s.base.JoinPath(s.healthPath())
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
 		return health.Failed
--- a/internal/service/exchange/exchange.go
+++ b/internal/service/exchange/exchange.go
@@ -40,6 +40,9 @@
 	BootstrapFor time.Duration
 	// RandomSeed varies jitter and random choices between processes.
 	RandomSeed uint64
+	// Direct is true if every node reads the platform itself. The service then
+	// asks and tells other nodes nothing, but it answers them.
+	Direct bool
 }
 
 // The small interfaces of the partners that the service finds by name.
@@ -180,6 +183,9 @@
 		s.serve()
 	}
 	ctx, s.cancel = context.WithCancel(ctx)
+	if s.config.Direct {
+		return s.loop.Post(ctx, replan{})
+	}
 	s.outbox.start(ctx)
 	s.tasks.Go(func() { s.runBootstrap(ctx) })
 	s.tasks.Go(func() { s.runPoller(ctx) })
--- a/internal/service/exchange/http_test.go
+++ b/internal/service/exchange/http_test.go
@@ -82,7 +82,7 @@
 		address:    self.Addresses.Control,
 	}
 	n.exchange = exchange.New(exchange.Config{Self: self, Listener: listener, Seeds: seeds, BootstrapFor: time.Minute})
-	if err := n.kernel.Register(events{shared}, watchdog.New(), n.config, n.membership, n.exchange); err != nil {
+	if err := n.kernel.Register(events{shared}, watchdog.New(watchdog.Config{}), n.config, n.membership, n.exchange); err != nil {
 		t.Fatal(err)
 	}
 	if err := n.kernel.Start(t.Context()); err != nil {
--- a/internal/service/exchange/planner.go
+++ b/internal/service/exchange/planner.go
@@ -119,6 +119,9 @@
 }
 
 func (s *Service) handleMembersChanged(m control.MembersChanged) {
+	if s.config.Direct {
+		return
+	}
 	for _, changed := range m.Changed {
 		if changed.ID == s.config.Self.ID {
 			s.announce([]model.Member{changed})
@@ -163,7 +166,10 @@
 func (s *Service) decide() {
 	old := s.role.Load()
 	next := role{round: old.round}
-	if s.planner.configured || s.planner.mayRead {
+	switch {
+	case s.config.Direct:
+		next.scope = control.ReadAll
+	case s.planner.configured || s.planner.mayRead:
 		s.assign(&next, old)
 	}
 	if next == old {
--- a/internal/service/forward/attempt.go
+++ b/internal/service/forward/attempt.go
@@ -90,13 +90,14 @@
 }
 
 // nodeHeaders is the number of headers that hop.Request sets.
-const nodeHeaders = 9
+const nodeHeaders = 12
 
 func (s *Service) nodeRequest(a attempt) hop.Request {
 	q := a.request
 	r := hop.Request{
-		ID: q.ID, Service: q.Route.Service, Route: q.Route.Name,
-		Class: q.Route.Class, Idempotent: q.Route.Idempotent, Attempt: a.number,
+		ID: q.ID, Service: q.Destination.Service.Name, Route: q.Route.Name,
+		Target: a.endpoint.ID.Instance, Origin: s.config.Origin,
+		Class: q.Route.Class, Priority: q.Route.Priority, Idempotent: q.Route.Idempotent, Attempt: a.number,
 		Timeout:     q.Deadline.Sub(s.clock.Now()),
 		Incarnation: a.endpoint.ID.Incarnation,
 	}
--- a/internal/service/forward/budgets.go
+++ b/internal/service/forward/budgets.go
@@ -68,3 +68,16 @@
 	b.byRoute.Store(r, known.budgets)
 	return known.budgets
 }
+
+// share returns this node's part of the mesh's limits for a service, or nil if
+// there are no such limits.
+func (s *Service) share(name model.ServiceName) *retry.Share {
+	if s.config.Limits.Window <= 0 || s.mesh == nil {
+		return nil
+	}
+	found, ok := s.shares.Load(name)
+	if !ok {
+		found, _ = s.shares.LoadOrStore(name, retry.NewShare(s.config.Limits))
+	}
+	return found.(*retry.Share)
+}
--- a/internal/service/forward/series.go
+++ b/internal/service/forward/series.go
@@ -16,6 +16,7 @@
 	service  *Service
 	request  *call.Request
 	budgets  *routeBudgets
+	share    *retry.Share // nil without limits over all nodes
 	rules    retry.Request
 	progress retry.Progress
 	// tried holds the endpoints that the request must not be sent to again;
@@ -31,7 +32,11 @@
 	run := &series{
 		service: s, request: q,
 		budgets: s.budgets.deposit(q.Route, s.clock.Now().Sub(s.start)),
-		rules:   retry.Request{Idempotent: q.Route.Idempotent, Attempts: max(q.Route.Retry.Attempts, 1)},
+		share:   s.share(q.Destination.Service.Name),
+		rules:   retry.Request{Idempotent: q.Route.Idempotent, Attempts: max(q.Route.Retry.Attempts, 1), Refusals: q.Route.Retry.Refusals},
+	}
+	if run.share != nil {
+		run.share.Deposit(s.clock.Now().Sub(s.start), s.mesh.Present())
 	}
 	last := notSent(ctx, q)
 	next := retry.Decision{Action: retry.SendElsewhere}
@@ -116,14 +121,29 @@
 	r.progress.GateKnown = r.current.ID.Incarnation != 0
 	r.progress.Alone = len(r.tried) >= len(r.request.Destination.Endpoints)
 	r.progress.Replayable = last.Outcome == model.OutcomeAnswered || r.request.Body.Replayable()
+	if last.ReachedServer() {
+		r.progress.Reached++
+	}
 	decision := retry.Decide(r.rules, r.progress, last.Result, r.service.config.Random)
 	spends := decision.Action == retry.SendElsewhere || decision.Action == retry.SendAgain
-	if spends && !r.budgets.retries.Withdraw() {
+	if spends && !r.withdraw() {
 		return retry.Decision{Action: retry.Finish}
 	}
 	return decision
 }
 
+// withdraw takes what a retry costs from the budgets. The limits over all nodes
+// count arrivals at servers only.
+func (r *series) withdraw() bool {
+	if !r.budgets.retries.Withdraw() {
+		return false
+	}
+	if r.share == nil || r.progress.Reached == 0 {
+		return true
+	}
+	return r.share.Withdraw(r.service.clock.Now().Sub(r.service.start), r.service.mesh.Present())
+}
+
 // wait lets d pass and reports false if the context ended first.
 func (r *series) wait(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -31,6 +31,11 @@
 
 // Config is what the service needs to know.
 type Config struct {
+	// Origin is the service of this node's instance.
+	Origin model.ServiceName
+	// Limits bound the retries over all nodes; with a zero Window only the
+	// budgets of the routes do.
+	Limits retry.Limits
 	// Time stamps forwarded requests; nil sends no time.
 	Time *timeline.Clock
 	// Random supplies random numbers to concurrent requests; nil means the
@@ -38,6 +43,12 @@
 	Random retry.Source
 }
 
+// meshSize is the part of the membership service that forward uses.
+type meshSize interface {
+	// Present returns the number of instances that take requests.
+	Present() int
+}
+
 // Service forwards requests. It is safe for concurrent use.
 type Service struct {
 	config     Config
@@ -46,6 +57,8 @@
 	chooser    chooser
 	transports *transports
 	budgets    budgets
+	shares     sync.Map // model.ServiceName -> *retry.Share
+	mesh       meshSize // nil if the node has no membership
 	background sync.WaitGroup
 }
 
@@ -71,6 +84,9 @@
 		return err
 	}
 	s.chooser = partner
+	if mesh, err := kernel.Find[meshSize](c, control.Membership); err == nil {
+		s.mesh = mesh
+	}
 	s.clock = c.Clock
 	s.start = c.Clock.Now()
 	return nil
--- a/internal/service/gate/answer.go
+++ b/internal/service/gate/answer.go
@@ -47,7 +47,7 @@
 		return http.StatusConflict
 	case model.ReasonDeadline:
 		return http.StatusGatewayTimeout
-	case model.ReasonCrashed, model.ReasonConnectionLost, model.ReasonCancelled:
+	case model.ReasonCrashed, model.ReasonConnectionLost, model.ReasonBrokenAnswer, model.ReasonCancelled:
 		return http.StatusBadGateway
 	default:
 		return http.StatusServiceUnavailable
--- a/internal/service/gate/copies.go
+++ b/internal/service/gate/copies.go
@@ -70,7 +70,7 @@
 func (s *Service) present() []model.Member {
 	out := []model.Member{s.self.Member(model.PresenceReady)}
 	for _, m := range s.partners.members.ServiceMembers(s.self.Service) {
-		if m.ID != s.self.ID && m.Present() {
+		if !s.isOwn(m) && m.Present() {
 			out = append(out, m)
 		}
 	}
@@ -78,7 +78,7 @@
 }
 
 func (s *Service) withoutSelf(members []model.Member) []model.Member {
-	return slices.DeleteFunc(members, func(m model.Member) bool { return m.ID == s.self.ID })
+	return slices.DeleteFunc(members, s.isOwn)
 }
 
 // without returns the members that are not in excluded.
--- a/internal/service/gate/drain.go
+++ b/internal/service/gate/drain.go
@@ -9,8 +9,8 @@
 	"github.com/galenalever/galenalever/internal/timeline"
 )
 
-// lameDuck is how long a drained gate goes on refusing requests, so that nodes
-// which have not heard that it leaves learn it from a refusal.
+// lameDuck is how long a gate that leaves refuses requests at least, so that
+// nodes which have not heard that it leaves learn it from a refusal.
 const lameDuck = 1500 * time.Millisecond
 
 // leave refuses queued and new requests from now on. Running ones go on.
@@ -20,6 +20,7 @@
 	if s.leaving.Swap(true) {
 		return
 	}
+	s.leftAt = s.clock.Now()
 	s.partners.timeline.Record(timeline.KindDrainStarted, "")
 	s.deliver(s.admission.Leave())
 	s.closeIfIdle()
@@ -34,13 +35,13 @@
 }
 
 // Stop implements kernel.Stopper. It waits for the last running request, hands
-// the records of idempotency keys over, goes on refusing for a short time and
-// closes the listener.
+// the records of idempotency keys over, goes on refusing until lameDuck is over
+// and closes the listener.
 func (s *Service) Stop(ctx context.Context) error {
 	s.leave()
 	drained := s.awaitIdle(ctx)
 	s.handOver(ctx)
-	s.refuseFor(ctx, lameDuck)
+	s.refuseFor(ctx, lameDuck-s.clock.Now().Sub(s.leftAt))
 	if err := s.http.Shutdown(ctx); err != nil {
 		drained = false
 		_ = s.http.Close()
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -17,6 +17,7 @@
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/admission"
 	"github.com/galenalever/galenalever/internal/decision/dedupe"
+	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
@@ -30,6 +31,8 @@
 	Listener net.Listener
 	// Timestamps marks the answers for the time line; nil leaves them unmarked.
 	Timestamps *timeline.Clock
+	// Headers is the server's protocol; nil means frontend.Native.
+	Headers frontend.Headers
 	// KeepLate is admission.Limits.KeepLate, for experiments.
 	KeepLate bool
 }
@@ -40,6 +43,7 @@
 	self       model.Self
 	listener   net.Listener
 	timestamps *timeline.Clock
+	headers    frontend.Headers
 	keepLate   bool
 	partners   partners
 	peers      *peerClient
@@ -49,8 +53,12 @@
 	clock      clock.Clock
 	log        *slog.Logger
 	leaving    atomic.Bool
-	counters   *counters
-	overload   atomic.Int64 // time of the last event about overload, in ns
+	// withdrawn is true while the platform has the own server leave; the gate
+	// itself goes on. listedSlots is 0 while the list names no slots.
+	withdrawn   atomic.Bool
+	listedSlots atomic.Int64
+	counters    *counters
+	overload    atomic.Int64 // time of the last event about overload, in ns
 
 	mu        sync.Mutex
 	tickets   admission.Ticket
@@ -67,17 +75,22 @@
 	met          map[model.InstanceID]model.Incarnation // control state
 
 	// working counts the requests that run or are queued; idle is closed when
-	// there is none while the gate is leaving.
+	// there is none while the gate is leaving, which began at leftAt.
 	working int
 	idle    chan struct{}
+	leftAt  time.Time
 }
 
 // New returns a gate that is not yet listening.
 func New(c Config) *Service {
+	if c.Headers == nil {
+		c.Headers = frontend.Native{}
+	}
 	s := &Service{
 		self:       c.Self,
 		listener:   c.Listener,
 		timestamps: c.Timestamps,
+		headers:    c.Headers,
 		keepLate:   c.KeepLate,
 		closed:     make(chan struct{}),
 		admission:  admission.New(admission.Limits{}),
@@ -174,6 +187,10 @@
 		return
 	}
 	limits := admission.Limits{Slots: service.Slots, LongSlots: service.LongSlots, Queue: service.Queue, KeepLate: s.keepLate}
+	if listed := int(s.listedSlots.Load()); listed > 0 {
+		limits.Slots = listed
+		limits.LongSlots = min(limits.LongSlots, listed)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.deliver(s.admission.Configure(limits, s.clock.Now()))
--- a/internal/service/gate/records.go
+++ b/internal/service/gate/records.go
@@ -25,11 +25,14 @@
 	joinedCapacity = 64
 )
 
-// handleMembersChanged notes new members of the service, so that they get the
-// records that concern them.
+// handleMembersChanged notes what the list says of this gate's own server, and
+// new members of the service, so that they get the records that concern them.
 func (s *Service) handleMembersChanged(m control.MembersChanged) {
+	if slices.ContainsFunc(m.Changed, s.isOwn) {
+		s.applyListing()
+	}
 	for _, member := range m.Changed {
-		if member.Service != s.self.Service || member.ID == s.self.ID || !member.Present() {
+		if member.Service != s.self.Service || s.isOwn(member) || !member.Present() {
 			continue
 		}
 		incarnation := member.Announced.Incarnation
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 
+	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -21,13 +22,33 @@
 		s.endUncopied(c, r)
 		return
 	}
-	response, err := s.partners.server.Do(outgoing(ctx, c.r), c.deadline, c.Idempotent)
+	out := outgoing(ctx, c.r)
+	s.headers.ToServer(out.Header, frontend.ServerRequest{
+		TimeLeft: c.deadline.Sub(s.clock.Now()), Target: c.Target, Origin: c.Origin,
+	})
+	response, err := s.partners.server.Do(out, c.deadline, c.Idempotent)
 	if err != nil {
 		s.failed(ctx, c, err)
 		return
 	}
 	defer response.Body.Close()
-	s.relay(ctx, c, response)
+	s.received(ctx, c, response)
+}
+
+// received passes on an answer of the server that belongs to the call.
+func (s *Service) received(ctx context.Context, c *call, response *http.Response) {
+	said := s.headers.FromServer(response.StatusCode, response.Header)
+	switch {
+	case !said.Anonymous && said.ID != c.ID:
+		// The answer to an earlier request; that to this one is not known.
+		s.release(c, false)
+		s.refuse(c, unknown(model.ReasonBrokenAnswer))
+	case said.NotRun:
+		s.dropCopies(c)
+		s.endNotRun(c, notRun(model.ReasonServerRefused))
+	default:
+		s.relay(ctx, c, response)
+	}
 }
 
 // outgoing returns the request as the server gets it.
--- a/internal/service/gate/serve.go
+++ b/internal/service/gate/serve.go
@@ -72,7 +72,7 @@
 // unavailable refuses requests that no state of the node allows to run now.
 func (s *Service) unavailable(c *call) *refusal {
 	switch {
-	case s.leaving.Load():
+	case s.leaving.Load() || s.withdrawn.Load():
 		return notRun(model.ReasonLeaving)
 	case s.service() == nil || !s.partners.suspects.Prepared():
 		return notRun(model.ReasonNotReady)
--- a/internal/service/ingress/refusal.go
+++ b/internal/service/ingress/refusal.go
@@ -5,12 +5,11 @@
 	"fmt"
 	"net/http"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/galenalever/galenalever/internal/call"
 	"github.com/galenalever/galenalever/internal/decision/route"
-	"github.com/galenalever/galenalever/internal/hop"
+	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
@@ -80,24 +79,19 @@
 func (s *Service) refuse(w http.ResponseWriter, match route.Match, r refusal, begin time.Time) {
 	s.metrics.count(match.Route, r.outcome, r.reason, s.clock.Now().Sub(begin))
 	h := w.Header()
-	h.Set(hop.HeaderOutcome, r.outcome.String())
-	h.Set(hop.HeaderReason, string(r.reason))
+	told := frontend.Refusal{Status: r.status, Outcome: r.outcome, Reason: r.reason}
+	if r.status == http.StatusServiceUnavailable {
+		told.RetryAfter = r.retryAfter
+		if told.RetryAfter <= 0 {
+			told.RetryAfter = defaultRetryAfter
+		}
+	}
+	s.config.Headers.Refuse(h, told)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Cache-Control", "no-store")
 	if r.allow != "" {
 		h.Set("Allow", r.allow)
 	}
-	if r.status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", seconds(r.retryAfter))
-	}
 	w.WriteHeader(r.status)
 	fmt.Fprintf(w, "outcome: %s\nreason: %s\n", r.outcome, r.reason)
 }
-
-// seconds rounds a delay up to whole seconds, as Retry-After wants it.
-func seconds(d time.Duration) string {
-	if d <= 0 {
-		d = defaultRetryAfter
-	}
-	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
-}
--- a/internal/service/ingress/serve.go
+++ b/internal/service/ingress/serve.go
@@ -19,19 +19,23 @@
 // serve handles one request of a caller.
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	begin := s.clock.Now()
-	id := s.nextID()
+	number := s.lastID.Add(1)
+	caller, headerFault := s.config.Headers.Caller(r.Header)
+	id := caller.ID
+	if id == "" {
+		id = s.idOf(number)
+	}
 	w.Header().Set(hop.HeaderRequestID, string(id))
 	defer s.inFlight.Add(-1)
-	match, refused := s.admit(r, s.inFlight.Add(1))
-	if refused != nil {
-		s.refuse(w, match, *refused, begin)
-		return
+	match, refused := s.admit(r, s.inFlight.Add(1), number)
+	if refused == nil && headerFault != nil {
+		refused = notRun(http.StatusBadRequest, reasonInvalid)
 	}
-	deadline, refused := deadlineOf(r, match.Route, begin)
 	if refused != nil {
 		s.refuse(w, match, *refused, begin)
 		return
 	}
+	deadline := deadlineOf(caller, match.Route, begin)
 	ctx, cancel := s.withDeadline(r.Context(), deadline.Sub(begin))
 	defer cancel()
 	limitWrites(w, deadline.Sub(begin))
@@ -51,7 +55,7 @@
 }
 
 // admit finds the route of a request, or the reason to refuse it.
-func (s *Service) admit(r *http.Request, inFlight int64) (route.Match, *refusal) {
+func (s *Service) admit(r *http.Request, inFlight int64, number uint64) (route.Match, *refusal) {
 	if inFlight > s.config.MaxInFlight {
 		return route.Match{}, notRun(http.StatusServiceUnavailable, model.ReasonQueueFull)
 	}
@@ -73,7 +77,7 @@
 		return route.Match{}, notRun(http.StatusBadRequest, reasonInvalid)
 	}
 	host := route.CanonicalHost(r.Host)
-	match := table.Lookup(host, r.URL.Path, r.Method)
+	match := table.Lookup(host, r.URL.Path, r.Method, number)
 	switch match.Result {
 	case route.NoRoute:
 		return match, notRun(http.StatusNotFound, model.ReasonNoRoute)
--- a/internal/service/ingress/service.go
+++ b/internal/service/ingress/service.go
@@ -19,6 +19,7 @@
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/route"
+	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -61,6 +62,8 @@
 	Self model.Self
 	// Listener accepts callers' connections. The service closes it.
 	Listener net.Listener
+	// Headers is the callers' protocol; nil means frontend.Native.
+	Headers frontend.Headers
 	// MaxInFlight bounds the requests that are served at a time; 0 means 4096.
 	MaxInFlight int64
 }
@@ -90,6 +93,9 @@
 	if config.MaxInFlight <= 0 {
 		config.MaxInFlight = defaultMaxInFlight
 	}
+	if config.Headers == nil {
+		config.Headers = frontend.Native{}
+	}
 	return &Service{
 		config:   config,
 		idPrefix: string(config.Self.ID) + "-" + strconv.FormatUint(uint64(config.Self.Incarnation), base) + "-",
@@ -151,9 +157,9 @@
 	return err
 }
 
-// nextID returns an ID that no other request in the mesh has: it contains the
+// idOf returns an ID that no other request in the mesh has: it contains the
 // instance and the start time of the process.
-func (s *Service) nextID() model.RequestID {
+func (s *Service) idOf(number uint64) model.RequestID {
 	const base = 36
-	return model.RequestID(s.idPrefix + strconv.FormatUint(s.lastID.Add(1), base))
+	return model.RequestID(s.idPrefix + strconv.FormatUint(number, base))
 }
--- a/internal/service/membership/membership.go
+++ b/internal/service/membership/membership.go
@@ -36,6 +36,9 @@
 // Config is the settings of the service.
 type Config struct {
 	Self model.Self
+	// Unlisted is true if this process announces nothing of its instance, so
+	// that only the platform's list names it.
+	Unlisted bool
 }
 
 // Service owns the members. All handlers run on the control loop.
@@ -50,6 +53,8 @@
 	own model.Member
 	// incarnation is own's incarnation for other goroutines.
 	incarnation atomic.Uint64
+	// present is the number of instances that take requests.
+	present atomic.Int64
 	// departed holds when this node learnt of each departure.
 	departed map[model.InstanceID]time.Time
 }
@@ -64,7 +69,10 @@
 func New(c Config) *Service {
 	own := c.Self.Member(model.PresenceStarting)
 	epoch := uint64(c.Self.Incarnation) ^ members.Hash(c.Self.ID)
-	view, _ := members.New(epoch).With(own)
+	view := members.New(epoch)
+	if !c.Unlisted {
+		view, _ = view.With(own)
+	}
 	s := &Service{
 		config:   c,
 		view:     kernel.NewSnapshot(view),
@@ -113,6 +121,9 @@
 	}
 	s.own.Announced.Presence = m.Presence
 	s.timeline.Record(timeline.KindPresenceChanged, m.Presence.String())
+	if s.config.Unlisted {
+		return
+	}
 	s.take([]model.Member{s.own})
 }
 
@@ -120,7 +131,7 @@
 // process about itself is answered by a newer announcement.
 func (s *Service) take(received []model.Member) {
 	next, changed := s.view.Load().With(received...)
-	if known, _ := next.Get(s.config.Self.ID); known.Announced != s.own.Announced {
+	if known, _ := next.Get(s.config.Self.ID); !s.config.Unlisted && known.Announced != s.own.Announced {
 		s.own.Announced = members.Reassert(s.own.Announced, known.Announced)
 		s.incarnation.Store(uint64(s.own.Announced.Incarnation))
 		var own []model.Member
@@ -131,10 +142,27 @@
 		return
 	}
 	s.view.Store(next)
+	s.countPresent(next)
 	s.noteDepartures(changed)
 	s.loop.Emit(control.MembersChanged{Changed: changed})
 }
 
+// Present returns the number of instances that take requests. Any goroutine may
+// call it.
+func (s *Service) Present() int { return int(s.present.Load()) }
+
+func (s *Service) countPresent(view *members.View) {
+	count := 0
+	for _, domain := range view.Domains() {
+		for m := range view.EachInDomain(domain) {
+			if m.Present() {
+				count++
+			}
+		}
+	}
+	s.present.Store(int64(count))
+}
+
 func (s *Service) noteDepartures(changed []model.Member) {
 	now := s.clock.Now()
 	if len(changed) > maxRecorded {
--- /dev/null
+++ b/internal/service/source/caller.go
@@ -0,0 +1,122 @@
+package source
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// maxAnswerBytes bounds an answer; the list of instances is the largest.
+	maxAnswerBytes = 32 << 20
+	// maxRetryAfter bounds the wait that the platform can ask for.
+	maxRetryAfter = time.Minute
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = time.Second
+	// probeIdle, probeInterval and probeCount are the keep-alive probes that
+	// find a connection dead while an answer is held back.
+	probeIdle     = time.Second
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 3
+	// unacknowledged bounds the time for which sent data may stay
+	// unacknowledged.
+	unacknowledged = 2 * time.Second
+)
+
+// Caller makes calls that are answered in JSON. It is safe for concurrent use.
+type Caller struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// NewCaller returns a caller for a base URL. The timeout bounds a call beyond
+// the time for which its answer may be held back.
+func NewCaller(base string, timeout time.Duration) *Caller {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+		},
+		Control: boundUnacknowledged,
+	}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     time.Minute,
+	}
+	return &Caller{base: strings.TrimSuffix(base, "/"), timeout: timeout, http: &http.Client{Transport: transport}}
+}
+
+// boundUnacknowledged has the kernel break a connection whose peer does not
+// acknowledge data.
+func boundUnacknowledged(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Get makes a call whose answer may be held back for the time wait, and decodes
+// the answer. The error is ErrNoValue, ErrHistoryGone or a *BusyError for an
+// answer that says so.
+func (c *Caller) Get(ctx context.Context, path string, query url.Values, wait time.Duration, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
+	defer cancel()
+	target := c.base + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return eris.Wrap(err, "building a call to the platform")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "calling the platform")
+	}
+	defer response.Body.Close()
+	if err := checkStatus(response); err != nil {
+		return err
+	}
+	body := io.LimitReader(response.Body, maxAnswerBytes)
+	return eris.Wrap(json.NewDecoder(body).Decode(out), "decoding the platform's answer")
+}
+
+func checkStatus(response *http.Response) error {
+	switch response.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return ErrNoValue
+	case http.StatusGone:
+		return ErrHistoryGone
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return &BusyError{RetryAfter: retryAfter(response.Header), Status: response.Status}
+	default:
+		return eris.Errorf("the platform answered %s", response.Status)
+	}
+}
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(min(seconds, int(maxRetryAfter/time.Second))) * time.Second
+}
--- a/internal/service/source/instances.go
+++ b/internal/service/source/instances.go
@@ -21,7 +21,7 @@
 			continue
 		}
 		retry.succeeded()
-		wait = watchWait
+		wait = s.config.Pacing.WatchWait
 		s.postMembers(ctx, received, current)
 		s.pace(ctx)
 	}
@@ -50,7 +50,7 @@
 		return nil, reading.ErrStale
 	}
 	s.instancesSeen = list.Revision
-	if after > 0 {
+	if after > 0 && !list.Complete {
 		return list.Members, nil
 	}
 	return append(list.Members, reading.Absent(s.members.Load(), list.Revision, list.Members)...), nil
--- a/internal/service/source/keys.go
+++ b/internal/service/source/keys.go
@@ -29,13 +29,13 @@
 		s.postCut(ctx, assembler, current)
 		s.pace(ctx)
 		assembler = reading.NewAssembler(s.base())
-		wait = watchWait
+		wait = s.config.Pacing.WatchWait
 	}
 }
 
 // pace waits between two listings.
 func (s *Service) pace(ctx context.Context) {
-	_ = clock.Wait(ctx, s.clock, time.Duration(1+s.place.Load())*listInterval)
+	_ = clock.Wait(ctx, s.clock, time.Duration(1+s.place.Load())*s.config.Pacing.ListInterval)
 }
 
 func (s *Service) postCut(ctx context.Context, assembler *reading.Assembler, current order) {
--- a/internal/service/source/platform.go
+++ b/internal/service/source/platform.go
@@ -14,6 +14,10 @@
 // ErrNoValue means that the platform holds no value under a key.
 var ErrNoValue = eris.New("no such value")
 
+// ErrHistoryGone means that the platform no longer holds the changes after the
+// revision that was asked for.
+var ErrHistoryGone = eris.New("the platform dropped the history asked for")
+
 // BusyError means that the platform refused a call for now.
 type BusyError struct {
 	// RetryAfter is 0 if the platform named no time.
@@ -44,6 +48,9 @@
 type InstanceListing struct {
 	Revision model.Revision
 	Members  []model.Member
+	// Complete is true if the listing holds all instances, not only those that
+	// changed. A listing after revision 0 is always complete.
+	Complete bool
 }
 
 // Platform reads the platform's configuration service. A listing with a wait
--- a/internal/service/source/retry.go
+++ b/internal/service/source/retry.go
@@ -29,7 +29,7 @@
 	if r.failures == 1 {
 		r.service.timeline.Record(timeline.KindSourceFailed, err.Error())
 	}
-	delay := retryPolicy.Delay(r.failures, r.rng)
+	delay := r.service.config.Pacing.Retry.Delay(r.failures, r.rng)
 	var busy *BusyError
 	if errors.As(err, &busy) {
 		delay += busy.RetryAfter
--- a/internal/service/source/source.go
+++ b/internal/service/source/source.go
@@ -21,16 +21,29 @@
 	"github.com/galenalever/galenalever/internal/timeline"
 )
 
-const (
-	// watchWait is how long the platform holds a listing back when there is
+// Pacing bounds how often the service calls the platform.
+type Pacing struct {
+	// WatchWait is how long the platform holds a listing back when there is
 	// nothing new.
-	watchWait = 30 * time.Second
+	WatchWait time.Duration
+	// ListInterval is the least time between two listings by the first reader;
+	// later ones wait longer. Changes that come together are read together.
+	ListInterval time.Duration
+	// Retry bounds the delay after a failed call.
+	Retry backoff.Policy
+}
+
+// DefaultPacing suits a platform that few nodes of many read.
+var DefaultPacing = Pacing{
+	WatchWait:    30 * time.Second,
+	ListInterval: time.Second,
+	Retry:        backoff.Policy{Base: 3 * time.Second, Max: 30 * time.Second},
+}
+
+const (
 	// placeDelay is how long a reader leaves changed values to each reader that
 	// comes before it.
 	placeDelay = 750 * time.Millisecond
-	// listInterval is the least time between two listings by the first reader;
-	// later ones wait longer. Changes that come together are read together.
-	listInterval = time.Second
 	// settleTime bounds the random delay, for each place, before a node that
 	// became a reader makes its first call. In a storm of restarts many nodes
 	// are readers for a moment.
@@ -41,9 +54,6 @@
 	callBurst = 10
 )
 
-// retryPolicy bounds the delay after a failed call.
-var retryPolicy = backoff.Policy{Base: 3 * time.Second, Max: 30 * time.Second}
-
 // Parse makes a subtree from the text of a value. A text that is not valid
 // yields a subtree that is marked as rejected.
 type Parse func(key model.Key, revision model.Revision, text []byte, removed bool) *model.Subtree
@@ -55,6 +65,8 @@
 	Parse    Parse
 	// RandomSeed varies the jitter between processes.
 	RandomSeed uint64
+	// Pacing is DefaultPacing if it is zero.
+	Pacing Pacing
 }
 
 // The small interfaces of the partners that the service finds by name.
@@ -111,6 +123,9 @@
 
 // New returns the service.
 func New(c Config) *Service {
+	if c.Pacing == (Pacing{}) {
+		c.Pacing = DefaultPacing
+	}
 	return &Service{
 		config:    c,
 		order:     kernel.NewSnapshot(order{}),
--- a/internal/service/watchdog/watchdog.go
+++ b/internal/service/watchdog/watchdog.go
@@ -28,8 +28,16 @@
 	Record(kind timeline.Kind, detail string)
 }
 
+// Config is the settings of the service.
+type Config struct {
+	// MaxStale bounds how long after a pause the state counts as stale although
+	// the node could not synchronise; 0 means that only synchronising ends it.
+	MaxStale time.Duration
+}
+
 // Service detects pauses and tells whether the node's state is fresh.
 type Service struct {
+	config   Config
 	clock    clock.Clock
 	loop     *kernel.Loop
 	log      *slog.Logger
@@ -39,6 +47,10 @@
 	// synchronised is true while no pause has happened since the last
 	// synchronisation. It is written on the control loop only.
 	synchronised atomic.Bool
+	// everSynchronised and pauses belong to the control loop. pauses counts the
+	// pauses, so that a timer knows whether another one has followed.
+	everSynchronised bool
+	pauses           int
 }
 
 // tick is the timer's message.
@@ -48,7 +60,7 @@
 func (tick) MessageName() string { return "watchdog-tick" }
 
 // New returns the service.
-func New() *Service { return &Service{} }
+func New(c Config) *Service { return &Service{config: c} }
 
 // Name implements kernel.Service.
 func (*Service) Name() string { return control.Watchdog }
@@ -64,6 +76,7 @@
 	kernel.Subscribe(c.Loop, func(tick) { s.handleTick() })
 	kernel.Subscribe(c.Loop, s.handleSynchronised)
 	kernel.Subscribe(c.Loop, s.handlePaused)
+	kernel.Subscribe(c.Loop, s.handleStaleTooLong)
 	return nil
 }
 
@@ -105,6 +118,23 @@
 func (s *Service) handlePaused(m control.Paused) {
 	s.log.Warn("the process did not run; it synchronises before it takes requests", "gap", m.Gap)
 	s.timeline.Record(timeline.KindPaused, m.Gap.Round(time.Millisecond).String())
+	s.pauses++
+	if s.config.MaxStale > 0 && s.everSynchronised {
+		s.loop.After(s.config.MaxStale, staleTooLong{pause: s.pauses})
+	}
+}
+
+// staleTooLong ends the wait for synchronising after a pause.
+type staleTooLong struct{ pause int }
+
+// MessageName implements kernel.Message.
+func (staleTooLong) MessageName() string { return "stale-too-long" }
+
+// handleStaleTooLong has the node go on with what it knew before the pause.
+func (s *Service) handleStaleTooLong(m staleTooLong) {
+	if m.pause == s.pauses && s.gap() <= maxGap && !s.synchronised.Swap(true) {
+		s.log.Warn("not synchronised since the pause; going on with the state from before", "waited", s.config.MaxStale)
+	}
 }
 
 // handleSynchronised makes the state fresh. An answer from before a pause that
@@ -112,6 +142,7 @@
 // and the tick makes the state stale again.
 func (s *Service) handleSynchronised(m control.Synchronised) {
 	if s.gap() <= maxGap && !s.synchronised.Swap(true) {
+		s.everSynchronised = true
 		s.timeline.Record(timeline.KindSynchronised, m.From.String())
 		s.loop.Emit(control.Refreshed{})
 	}
--- a/internal/service/watchdog/watchdog_test.go
+++ b/internal/service/watchdog/watchdog_test.go
@@ -55,7 +55,7 @@
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{clock: clock.NewFake(time.Unix(0, 0)), watchdog: watchdog.New()}
+	b := &bench{clock: clock.NewFake(time.Unix(0, 0)), watchdog: watchdog.New(watchdog.Config{})}
 	b.kernel = kernel.New(b.clock, slog.New(slog.DiscardHandler))
 	if err := b.kernel.Register(b, b.watchdog); err != nil {
 		t.Fatal(err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,8 +25,12 @@
 	HealthPath     string        `help:"Path of the backend server's health check." env:"GALENA_HEALTH_PATH" default:"/healthz"`
 	HealthInterval time.Duration `help:"Time between two health checks." env:"GALENA_HEALTH_INTERVAL" default:"1s"`
 
+	PassiveHealth bool `help:"Take the server as healthy, and check it only after requests have failed." env:"GALENA_PASSIVE_HEALTH"`
+
 	Platform     string        `help:"URL of the platform's configuration service." env:"GALENA_PLATFORM" required:""`
 	Peers        []string      `help:"Control addresses of nodes to ask first." env:"GALENA_PEERS" name:"peer"`
+	Direct       bool          `help:"Read the platform on every node, and announce nothing to other nodes." env:"GALENA_DIRECT"`
+	MaxStale     time.Duration `help:"How long after a pause the node refuses requests if it cannot synchronise; 0 means until it can." env:"GALENA_MAX_STALE" default:"0s"`
 	BootstrapFor time.Duration `help:"How long a fresh process asks peers before it reads the platform itself." env:"GALENA_BOOTSTRAP_FOR" default:"2s"`
 
 	Listen         string `help:"Address for callers." env:"GALENA_LISTEN" default:"127.0.0.1:0"`
@@ -38,13 +42,15 @@
 	AdvertiseControl  string `help:"Control address that other nodes use; default is the listener's." env:"GALENA_ADVERTISE_CONTROL"`
 	AdvertiseOperator string `help:"Operator address that tools use; default is the listener's." env:"GALENA_ADVERTISE_OPERATOR"`
 
+	DrainLead    time.Duration `help:"How long a node that shuts down goes on taking callers, so that they are sent elsewhere first." env:"GALENA_DRAIN_LEAD" default:"0s"`
 	DrainTimeout time.Duration `help:"Longest wait for running requests at shutdown." env:"GALENA_DRAIN_TIMEOUT" default:"5m"`
 
 	Balancer  string `help:"Choice of a server: adaptive, or a baseline for experiments, random or reported." env:"GALENA_BALANCER" enum:"adaptive,random,reported" default:"adaptive"`
 	Admission string `help:"Admission at the gate: bounded, or a baseline for experiments, unbounded." env:"GALENA_ADMISSION" enum:"bounded,unbounded" default:"bounded"`
 
-	MemoryLimit int64 `help:"Memory in MiB above which the garbage collector works harder; 0 means no limit." env:"GALENA_MEMORY_LIMIT" default:"56"`
-	Profiling   bool  `help:"Serve the pages of net/http/pprof on the operator port." env:"GALENA_PROFILING"`
+	MemoryLimit    int64 `help:"Memory in MiB above which the garbage collector works harder; 0 means no limit." env:"GALENA_MEMORY_LIMIT" default:"56"`
+	GarbagePercent int   `help:"Growth of the heap in percent at which the garbage collector runs; 0 means the default of the runtime." env:"GALENA_GARBAGE_PERCENT" default:"0"`
+	Profiling      bool  `help:"Serve the pages of net/http/pprof on the operator port." env:"GALENA_PROFILING"`
 
 	LogFormat string `help:"Log format: text or json." env:"GALENA_LOG_FORMAT" enum:"text,json" default:"text"`
 	LogLevel  string `help:"Lowest level logged: debug, info, warn or error." env:"GALENA_LOG_LEVEL" enum:"debug,info,warn,error" default:"info"`
@@ -62,7 +68,9 @@
 		list.Addf(flag("--health-path"), "%q does not start with /", d.HealthPath)
 	}
 	checkPositive(&list, "--health-interval", d.HealthInterval)
-	checkPositive(&list, "--bootstrap-for", d.BootstrapFor)
+	checkNotNegative(&list, "--bootstrap-for", d.BootstrapFor)
+	checkNotNegative(&list, "--max-stale", d.MaxStale)
+	checkNotNegative(&list, "--drain-lead", d.DrainLead)
 	checkPositive(&list, "--drain-timeout", d.DrainTimeout)
 	for _, peer := range d.Peers {
 		checkAddress(&list, "--peer", peer)
@@ -74,6 +82,9 @@
 	checkOptionalAddress(&list, "--advertise-traffic", d.AdvertiseTraffic)
 	checkOptionalAddress(&list, "--advertise-control", d.AdvertiseControl)
 	checkOptionalAddress(&list, "--advertise-operator", d.AdvertiseOperator)
+	if d.GarbagePercent < 0 {
+		list.Addf(flag("--garbage-percent"), "%d is negative", d.GarbagePercent)
+	}
 	if d.MemoryLimit < 0 {
 		list.Addf(flag("--memory-limit"), "%d is negative", d.MemoryLimit)
 	}
@@ -122,3 +133,9 @@
 		list.Addf(flag(name), "%s is not a positive duration", value)
 	}
 }
+
+func checkNotNegative(list *findings.List, name string, value time.Duration) {
+	if value < 0 {
+		list.Addf(flag(name), "%s is negative", value)
+	}
+}
