--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/galenalever/galenalever/internal/document"
 	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/logging"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/service/source"
 	"github.com/galenalever/galenalever/internal/settings"
@@ -74,7 +75,9 @@
 		fmt.Fprintln(stderr, err)
 		return cli.ExitUsage
 	}
-	log := newLogger(d, stdout)
+	logs := logging.NewWriter(stdout)
+	defer closeLogs(logs)
+	log := newLogger(d, logs)
 	if d.MemoryLimit > 0 {
 		debug.SetMemoryLimit(d.MemoryLimit << 20)
 	}
@@ -93,17 +96,28 @@
 	return cli.ExitOK
 }
 
-func newLogger(d *settings.Daemon, w io.Writer) *slog.Logger {
+func newLogger(d *settings.Daemon, logs *logging.Writer) *slog.Logger {
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(d.LogLevel)) // checked by the enum tag
 	options := &slog.HandlerOptions{Level: level}
-	var handler slog.Handler = slog.NewTextHandler(w, options)
-	if d.LogFormat == "json" {
-		handler = slog.NewJSONHandler(w, options)
-	}
+	handler := logs.Handler(func(w io.Writer) slog.Handler {
+		if d.LogFormat == "json" {
+			return slog.NewJSONHandler(w, options)
+		}
+		return slog.NewTextHandler(w, options)
+	})
 	return slog.New(handler).With("instance", d.Instance)
 }
 
+// closeLogsTimeout bounds the wait for a reader of the logs at the end.
+const closeLogsTimeout = 200 * time.Millisecond
+
+func closeLogs(logs *logging.Writer) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeLogsTimeout)
+	defer cancel()
+	_ = logs.Close(ctx) // a reader that does not read loses the last lines
+}
+
 // run starts the node and waits for the end of ctx, then drains and stops.
 func run(ctx context.Context, d *settings.Daemon, where Surroundings, hangups <-chan os.Signal, log *slog.Logger) error {
 	l, err := openListeners(d)
--- a/internal/decision/balance/health.go
+++ b/internal/decision/balance/health.go
@@ -26,9 +26,9 @@
 	// ejectionBase doubles with every ejection up to ejectionLimit.
 	ejectionBase  = time.Second
 	ejectionLimit = 30 * time.Second
-	// leftPeriod bounds how long a server that left is avoided; the members
-	// show its end long before.
-	leftPeriod = 30 * time.Second
+	// leftPeriod is how long a server that left is avoided. Its end shows in the
+	// members soon; if only its node was restarted, the next request finds it.
+	leftPeriod = 2 * time.Second
 )
 
 // Ejected reports whether the server is ejected at the given time.
@@ -84,11 +84,16 @@
 	switch r.Reason {
 	case model.ReasonBackendDown, model.ReasonCrashed, model.ReasonStale, model.ReasonNotReady:
 		return verdictFailure
-	case model.ReasonUnreachable, model.ReasonConnectionLost, model.ReasonDeadline:
+	case model.ReasonUnreachable, model.ReasonConnectionLost:
 		if r.Reported {
 			return verdictNone // the gate is well and speaks of others
 		}
 		return verdictFailure
+	case model.ReasonDeadline:
+		if r.Reported || !r.Silent {
+			return verdictNone // a server that answers others is slow, not dead
+		}
+		return verdictFailure
 	case model.ReasonLeaving, model.ReasonWrongIncarnation, model.ReasonNoServer:
 		return verdictLeft
 	default:
--- a/internal/decision/balance/statistics.go
+++ b/internal/decision/balance/statistics.go
@@ -125,6 +125,8 @@
 	// Reported is true if the gate answered; Load is valid then.
 	Reported bool
 	Load     Load
+	// Silent is true if the server has answered nothing since the attempt began.
+	Silent bool
 	// Latency is the time to the start of the answer or until the attempt was
 	// given up; 0 means that it says nothing about the server.
 	Latency time.Duration
--- a/internal/decision/retry/retry.go
+++ b/internal/decision/retry/retry.go
@@ -66,6 +66,20 @@
 	AskSameGate
 )
 
+// String returns the name used in logs.
+func (a Action) String() string {
+	switch a {
+	case SendElsewhere:
+		return "elsewhere"
+	case SendAgain:
+		return "again"
+	case AskSameGate:
+		return "ask-same-gate"
+	default:
+		return "finish"
+	}
+}
+
 // Decision is an action and the delay before it. SendElsewhere and SendAgain
 // need a token of the retry budget.
 type Decision struct {
--- a/internal/decision/route/table.go
+++ b/internal/decision/route/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -22,6 +23,10 @@
 	position     map[model.ServiceName]int
 	destinations []*Destination
 	generation   uint64
+	// Revision is the revision of the configuration that the routes come from,
+	// AppliedAt the time at which this node took it.
+	Revision  model.Revision
+	AppliedAt time.Time
 }
 
 // Empty returns a table without routes.
--- a/internal/service/balancer/server.go
+++ b/internal/service/balancer/server.go
@@ -46,6 +46,8 @@
 	// progressAt is the time of the last answer, or of the first request since
 	// there was none outstanding.
 	progressAt atomic.Int64
+	// answeredAt is the time of the last answer.
+	answeredAt atomic.Int64
 }
 
 // begin counts one more attempt.
@@ -118,7 +120,11 @@
 func (s *server) done(owner *Service, class int, r balance.Report) {
 	now := owner.now()
 	statistics := &s.classes[class]
+	r.Silent = now-time.Duration(statistics.answeredAt.Load()) >= r.Latency
 	statistics.end(now)
+	if r.Outcome == model.OutcomeAnswered || r.Reported {
+		statistics.answeredAt.Store(int64(now))
+	}
 	if r.Reported && s.takesReport(owner.config.Policy, now) {
 		s.load.Store(packLoad(r.Load))
 		s.loadAt.Store(int64(now))
--- a/internal/service/forward/series.go
+++ b/internal/service/forward/series.go
@@ -23,6 +23,8 @@
 	// current is the last of them.
 	tried   []*route.Endpoint
 	current *route.Endpoint
+	// overBudget is true if a budget did not allow a retry.
+	overBudget bool
 }
 
 // Forward sends the request until it is answered or no further attempt is
@@ -41,12 +43,15 @@
 	last := notSent(ctx, q)
 	next := retry.Decision{Action: retry.SendElsewhere}
 	for next.Action != retry.Finish && run.wait(ctx, next.Delay) {
+		begin := s.clock.Now()
 		current, ok := run.act(ctx, next.Action)
 		if !ok {
+			run.logNoServer()
 			break
 		}
 		last = current
 		next = run.decide(last)
+		run.logAttempt(last, next, begin)
 	}
 	return run.answer(last)
 }
@@ -127,6 +132,7 @@
 	decision := retry.Decide(r.rules, r.progress, last.Result, r.service.config.Random)
 	spends := decision.Action == retry.SendElsewhere || decision.Action == retry.SendAgain
 	if spends && !r.withdraw() {
+		r.overBudget = true
 		return retry.Decision{Action: retry.Finish}
 	}
 	return decision
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -53,6 +54,7 @@
 type Service struct {
 	config     Config
 	clock      clock.Clock
+	log        *slog.Logger
 	start      time.Time
 	chooser    chooser
 	transports *transports
@@ -87,7 +89,7 @@
 	if mesh, err := kernel.Find[meshSize](c, control.Membership); err == nil {
 		s.mesh = mesh
 	}
-	s.clock = c.Clock
+	s.clock, s.log = c.Clock, c.Log
 	s.start = c.Clock.Now()
 	return nil
 }
--- a/internal/service/gate/answer.go
+++ b/internal/service/gate/answer.go
@@ -15,6 +15,7 @@
 func (s *Service) refuse(c *call, r *refusal) {
 	s.counters.countRefused(r.reason)
 	s.noteOverload(r.reason)
+	s.logCall(c, r.outcome, r.reason, status(r), r.retryAfter)
 	header := c.w.Header()
 	s.stamp(c, hop.Response{Outcome: r.outcome, Reason: r.reason, RetryAfter: r.retryAfter})
 	if r.retryAfter > 0 {
--- a/internal/service/gate/call.go
+++ b/internal/service/gate/call.go
@@ -29,6 +29,8 @@
 	// have recorded it.
 	idempotencyKey string
 	copies         []model.Member
+	// arrived is when the gate got the call, started when it went to the server.
+	arrived, started time.Time
 	// suspicion is the quarantine's decision on the request.
 	suspicion quarantine.Decision
 
@@ -50,7 +52,8 @@
 		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery,
 		BodyLength: r.ContentLength, IdempotencyKey: key,
 	}
-	c := &call{Request: request, w: w, r: r, deadline: s.clock.Now().Add(request.Timeout), fingerprint: shape.Fingerprint()}
+	c := &call{Request: request, w: w, r: r, arrived: s.clock.Now(), fingerprint: shape.Fingerprint()}
+	c.deadline = c.arrived.Add(request.Timeout)
 	if !request.Idempotent {
 		c.remember(shape, key)
 	}
--- a/internal/service/gate/drain.go
+++ b/internal/service/gate/drain.go
@@ -73,3 +73,14 @@
 	case <-ctx.Done():
 	}
 }
+
+var errLeaving = eris.New("the node is leaving")
+
+// ready reports why the node should get no callers. A server that does not work
+// is no such reason, since the node's callers use others as well.
+func (s *Service) ready() error {
+	if s.leaving.Load() {
+		return errLeaving
+	}
+	return nil
+}
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -150,6 +150,7 @@
 	s.counters = newCounters(s.partners.metrics.Scope())
 	if s.partners.page != nil {
 		s.partners.page.AddStatus(control.Gate, func() any { return s.Stats() })
+		s.partners.page.AddReadiness(control.Gate, s.ready)
 	}
 	kernel.Subscribe(c.Loop, s.handleConfigurationChanged)
 	kernel.Subscribe(c.Loop, s.handlePresenceChanged)
--- a/internal/service/gate/partners.go
+++ b/internal/service/gate/partners.go
@@ -56,6 +56,7 @@
 // statusPage is the part of the operator service that the gate uses.
 type statusPage interface {
 	AddStatus(section string, f func() any)
+	AddReadiness(name string, f func() error)
 }
 
 // partners are the services that the gate uses.
--- a/internal/service/gate/relay.go
+++ b/internal/service/gate/relay.go
@@ -40,14 +40,16 @@
 	s.writeHeader(c, response)
 	err := s.copyBody(c, response, r)
 	if err != nil && !errors.Is(err, errCallerGone) {
-		s.lost(ctx, c)
+		s.logCall(c, model.OutcomeUnknown, s.lost(ctx, c), response.StatusCode, 0)
 		panic(http.ErrAbortHandler)
 	}
 	if err != nil && c.Idempotent {
 		s.giveUp(c)
+		s.logCall(c, model.OutcomeUnknown, model.ReasonCancelled, response.StatusCode, 0)
 		panic(http.ErrAbortHandler)
 	}
 	s.endAnswered(c, r.answer(response))
+	s.logCall(c, model.OutcomeAnswered, "", response.StatusCode, 0)
 	s.counters.countAnswered()
 	if c.exclusive() && c.identified() {
 		s.partners.suspects.RanAlone(c.suspicion)
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -22,6 +22,7 @@
 		s.endUncopied(c, r)
 		return
 	}
+	c.started = s.clock.Now()
 	out := outgoing(ctx, c.r)
 	s.headers.ToServer(out.Header, frontend.ServerRequest{
 		TimeLeft: c.deadline.Sub(s.clock.Now()), Target: c.Target, Origin: c.Origin,
--- a/internal/service/ingress/pass.go
+++ b/internal/service/ingress/pass.go
@@ -4,10 +4,8 @@
 	"io"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/galenalever/galenalever/internal/call"
-	"github.com/galenalever/galenalever/internal/decision/route"
 	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -19,7 +17,7 @@
 
 // pass hands a server's answer to the caller. If the answer breaks on the way,
 // the connection is aborted, so that the caller cannot take it for whole.
-func (s *Service) pass(w http.ResponseWriter, match route.Match, a *call.Answer, begin time.Time) {
+func (s *Service) pass(w http.ResponseWriter, entry requestLog, a *call.Answer) {
 	response := a.Response
 	defer response.Body.Close()
 	h := w.Header()
@@ -29,13 +27,13 @@
 	h.Set(hop.HeaderOutcome, model.OutcomeAnswered.String())
 	w.WriteHeader(response.Status)
 	if err := copyBody(w, response); err != nil {
-		s.metrics.count(match.Route, model.OutcomeUnknown, model.ReasonConnectionLost, s.clock.Now().Sub(begin))
+		s.finish(entry, response.Status, model.OutcomeUnknown, model.ReasonConnectionLost)
 		panic(http.ErrAbortHandler)
 	}
 	for name, values := range response.Trailer {
 		h[http.TrailerPrefix+name] = values
 	}
-	s.metrics.count(match.Route, model.OutcomeAnswered, "", s.clock.Now().Sub(begin))
+	s.finish(entry, response.Status, model.OutcomeAnswered, "")
 }
 
 // copyBody streams the body. Pieces of an answer without a length go out at
--- a/internal/service/ingress/refusal.go
+++ b/internal/service/ingress/refusal.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/galenalever/galenalever/internal/call"
-	"github.com/galenalever/galenalever/internal/decision/route"
 	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -76,8 +75,9 @@
 const defaultRetryAfter = time.Second
 
 // refuse answers a request that has no answer of a server.
-func (s *Service) refuse(w http.ResponseWriter, match route.Match, r refusal, begin time.Time) {
-	s.metrics.count(match.Route, r.outcome, r.reason, s.clock.Now().Sub(begin))
+func (s *Service) refuse(w http.ResponseWriter, entry requestLog, r refusal) {
+	entry.retryAfter = r.retryAfter
+	s.finish(entry, r.status, r.outcome, r.reason)
 	h := w.Header()
 	told := frontend.Refusal{Status: r.status, Outcome: r.outcome, Reason: r.reason}
 	if r.status == http.StatusServiceUnavailable {
--- a/internal/service/ingress/serve.go
+++ b/internal/service/ingress/serve.go
@@ -31,8 +31,9 @@
 	if refused == nil && headerFault != nil {
 		refused = notRun(http.StatusBadRequest, reasonInvalid)
 	}
+	entry := requestLog{id: id, match: match, begin: begin, caller: caller}
 	if refused != nil {
-		s.refuse(w, match, *refused, begin)
+		s.refuse(w, entry, *refused)
 		return
 	}
 	deadline := deadlineOf(caller, match.Route, begin)
@@ -41,17 +42,18 @@
 	limitWrites(w, deadline.Sub(begin))
 	body, refused := s.readBody(w, r, match.Route, deadline)
 	if refused != nil {
-		s.refuse(w, match, *refused, begin)
+		s.refuse(w, entry, *refused)
 		return
 	}
 	request := newRequest(r, id, match, body, deadline)
 	answer := s.forwarder.Forward(ctx, request)
 	s.metrics.countAttempts(match.Route, answer.Attempts)
+	entry.attempts = answer.Attempts
 	if answer.Response == nil {
-		s.refuse(w, match, refusalOf(answer, body), begin)
+		s.refuse(w, entry, refusalOf(answer, body))
 		return
 	}
-	s.pass(w, match, answer, begin)
+	s.pass(w, entry, answer)
 }
 
 // admit finds the route of a request, or the reason to refuse it.
--- a/internal/service/routing/routing.go
+++ b/internal/service/routing/routing.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/route"
 	"github.com/galenalever/galenalever/internal/kernel"
@@ -24,6 +25,7 @@
 // Service publishes the route table.
 type Service struct {
 	members memberSource
+	clock   clock.Clock
 	table   *kernel.Snapshot[*route.Table]
 	tree    *model.Tree
 }
@@ -50,6 +52,7 @@
 	if err != nil {
 		return err
 	}
+	s.clock = c.Clock
 	kernel.Subscribe(c.Loop, func(control.ConfigurationChanged) { s.applyConfiguration(config.Configuration().Load()) })
 	kernel.Subscribe(c.Loop, s.applyMembers)
 	return nil
@@ -65,7 +68,9 @@
 	if base == nil {
 		base = route.Empty()
 	}
-	s.table.Store(base.WithTree(c.Tree, s.members.ServiceMembers))
+	next := base.WithTree(c.Tree, s.members.ServiceMembers)
+	next.Revision, next.AppliedAt = c.Cut.Revision, s.clock.Now()
+	s.table.Store(next)
 }
 
 // applyMembers replaces the endpoints of every service with a changed member.
--- a/internal/service/source/retry.go
+++ b/internal/service/source/retry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 
 	"github.com/galenalever/galenalever/internal/clock"
@@ -11,13 +12,20 @@
 
 // retrier delays a goroutine after failures in a row.
 type retrier struct {
+	// purpose names what the goroutine reads.
+	purpose  string
 	service  *Service
 	rng      *rand.Rand
 	failures int
 }
 
 // succeeded ends a row of failures.
-func (r *retrier) succeeded() { r.failures = 0 }
+func (r *retrier) succeeded() {
+	if r.failures > 0 {
+		r.service.timeline.Record(timeline.KindSourceRegained, fmt.Sprintf("%s, after %d failures", r.purpose, r.failures))
+	}
+	r.failures = 0
+}
 
 // failed waits before the next attempt, at least as long as the platform asked
 // for. The first failure of a row is recorded.
@@ -27,7 +35,7 @@
 	}
 	r.failures++
 	if r.failures == 1 {
-		r.service.timeline.Record(timeline.KindSourceFailed, err.Error())
+		r.service.timeline.Record(timeline.KindSourceFailed, r.purpose+": "+err.Error())
 	}
 	delay := r.service.config.Pacing.Retry.Delay(r.failures, r.rng)
 	var busy *BusyError
--- a/internal/service/source/source.go
+++ b/internal/service/source/source.go
@@ -162,8 +162,8 @@
 // Start implements kernel.Starter.
 func (s *Service) Start(ctx context.Context) error {
 	ctx, s.cancel = context.WithCancel(ctx)
-	s.tasks.Go(func() { s.run(ctx, control.ReadAll, s.random("keys"), s.watchKeys) })
-	s.tasks.Go(func() { s.run(ctx, control.ReadInstances, s.random("instances"), s.watchInstances) })
+	s.tasks.Go(func() { s.run(ctx, control.ReadAll, "keys", s.watchKeys) })
+	s.tasks.Go(func() { s.run(ctx, control.ReadInstances, "instances", s.watchInstances) })
 	return nil
 }
 
@@ -226,8 +226,9 @@
 
 // run calls watch whenever the scope includes need, until the context ends.
 // The context of watch ends when the order changes.
-func (s *Service) run(ctx context.Context, need control.ReadScope, rng *rand.Rand, watch func(context.Context, *retrier, order)) {
-	retry := &retrier{service: s, rng: rng}
+func (s *Service) run(ctx context.Context, need control.ReadScope, purpose string, watch func(context.Context, *retrier, order)) {
+	rng := s.random(purpose)
+	retry := &retrier{service: s, purpose: purpose, rng: rng}
 	for ctx.Err() == nil {
 		current, changed := s.order.Watch()
 		if current.scope < need {
--- a/internal/service/timeline/timeline.go
+++ b/internal/service/timeline/timeline.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net/http"
 	"strconv"
 
@@ -29,6 +30,7 @@
 type Service struct {
 	clock *timeline.Clock
 	ring  *timeline.Ring
+	log   *slog.Logger
 }
 
 // pages is what the service uses of the operator service.
@@ -42,6 +44,7 @@
 	return &Service{
 		clock: hybrid,
 		ring:  timeline.NewRing(hybrid, string(c.Instance), capacity),
+		log:   slog.New(slog.DiscardHandler), // until Provision
 	}
 }
 
@@ -54,6 +57,7 @@
 	if err != nil {
 		return err
 	}
+	s.log = c.Log
 	operator.Handle(status.PathTimeline, http.HandlerFunc(s.serve))
 	return nil
 }
@@ -70,8 +74,11 @@
 	return nil
 }
 
-// Record adds an event with the current time.
-func (s *Service) Record(kind timeline.Kind, detail string) { s.ring.Record(kind, detail) }
+// Record adds an event with the current time, and logs it.
+func (s *Service) Record(kind timeline.Kind, detail string) {
+	s.ring.Record(kind, detail)
+	s.log.Info("event", "kind", kind, "detail", detail)
+}
 
 // Clock returns the clock whose timestamps travel with messages.
 func (s *Service) Clock() *timeline.Clock { return s.clock }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,7 +52,7 @@
 	GarbagePercent int   `help:"Growth of the heap in percent at which the garbage collector runs; 0 means the default of the runtime." env:"GALENA_GARBAGE_PERCENT" default:"0"`
 	Profiling      bool  `help:"Serve the pages of net/http/pprof on the operator port." env:"GALENA_PROFILING"`
 
-	LogFormat string `help:"Log format: text or json." env:"GALENA_LOG_FORMAT" enum:"text,json" default:"text"`
+	LogFormat string `help:"Log format: text or json." env:"GALENA_LOG_FORMAT" enum:"text,json" default:"json"`
 	LogLevel  string `help:"Lowest level logged: debug, info, warn or error." env:"GALENA_LOG_LEVEL" enum:"debug,info,warn,error" default:"info"`
 }
 
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -70,6 +70,7 @@
 	KindSourceStarted        Kind = "source-reading-started"
 	KindSourceStopped        Kind = "source-reading-stopped"
 	KindSourceFailed         Kind = "source-failed"
+	KindSourceRegained       Kind = "source-regained"
 	KindUpstreamChanged      Kind = "upstream-changed"
 	KindUpstreamFailed       Kind = "upstream-failed"
 	KindSynchronised         Kind = "synchronised"
