Admit at the gate what can still be answered within its objective

Cause: at the crest every request waited up to a second in the queue, was answered too late for its objective, and calls of running work failed behind them. Ruled out: a shorter queue alone (refuses in clumps that would pass in time); ejecting slow servers (they are all slow at the crest). Change: the gate ranks by priority, then by whether the objective can still be met, then by what is due first; it refuses at once, with the time until there is room, what would miss its objective behind others. Service times are kept by route. The age of a caller's request follows from the longest wait that its route has seen.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -33,8 +33,9 @@
 	Body   *Body
 	// IdempotencyKey is the caller's key, or empty.
 	IdempotencyKey string
-	// Deadline is the end of the time for the whole answer.
-	Deadline time.Time
+	// Deadline is the end of the time for the whole answer, UsefulUntil of the
+	// time in which it is of full use.
+	Deadline, UsefulUntil time.Time
 }
 
 // Keyed reports whether the request goes to the server that owns its key, if it
--- a/internal/decision/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -4,6 +4,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/galenalever/galenalever/internal/model"
@@ -35,9 +36,16 @@
 
 // Request is a request that asks for a slot.
 type Request struct {
-	Ticket   Ticket
-	Class    model.Class
+	Ticket Ticket
+	Class  model.Class
+	// Kind names requests with like service times; empty means any of the class.
+	Kind string
+	// Priority ranks the request; 0 is the most urgent.
+	Priority int
 	Deadline time.Time
+	// UsefulUntil is the time until which an answer is of full use; zero means
+	// until the deadline.
+	UsefulUntil time.Time
 	// Exclusive requests run only while no other request holds a slot.
 	Exclusive bool
 }
@@ -66,6 +74,7 @@
 // running is a request that holds a slot.
 type running struct {
 	class     model.Class
+	kind      string
 	exclusive bool
 	since     time.Time
 }
@@ -86,11 +95,12 @@
 	longQueue  queue
 	shortTime  average
 	longTime   average
+	kinds      map[string]*average
 }
 
 // New returns an empty state.
 func New(limits Limits) *State {
-	return &State{limits: limits, running: make(map[Ticket]running)}
+	return &State{limits: limits, running: make(map[Ticket]running), kinds: make(map[string]*average)}
 }
 
 // Load is the occupancy that other nodes learn.
@@ -100,7 +110,7 @@
 
 // Load returns the present occupancy.
 func (s *State) Load() Load {
-	queued := s.shortQueue.len() + s.longQueue.len()
+	queued := len(s.shortQueue) + len(s.longQueue)
 	if s.exclusive.Ticket != 0 {
 		queued++
 	}
@@ -120,14 +130,15 @@
 		s.start(r, now)
 		return Decision{Ticket: r.Ticket, Verdict: Run}
 	}
-	wait := s.predictedWait(r)
+	wait := s.predictedWait(r, now)
 	if s.queueFull(r.Class) {
 		return refuse(r.Ticket, model.ReasonQueueFull, wait)
 	}
-	if !s.limits.KeepLate && now.Add(wait+s.average(r.Class).value()).After(r.Deadline) {
+	if !s.limits.KeepLate && s.hopeless(r, wait, now) {
 		return refuse(r.Ticket, model.ReasonLate, wait)
 	}
-	s.queue(r.Class).push(r)
+	q := s.queue(r.Class)
+	*q = append(*q, r)
 	return Decision{Ticket: r.Ticket, Verdict: Wait}
 }
 
@@ -145,7 +156,7 @@
 	if r.exclusive {
 		s.endExclusive(now)
 	}
-	s.average(r.class).add(now.Sub(r.since))
+	s.observe(r, now.Sub(r.since))
 	return s.dispatch(now)
 }
 
@@ -181,9 +192,11 @@
 	s.leaving = true
 	var out []Decision
 	for _, q := range []*queue{&s.shortQueue, &s.longQueue} {
-		for q.len() > 0 {
-			out = append(out, refuse(q.pop().Ticket, model.ReasonLeaving, 0))
+		slices.SortStableFunc(*q, func(a, b Request) int { return a.Deadline.Compare(b.Deadline) })
+		for _, r := range *q {
+			out = append(out, refuse(r.Ticket, model.ReasonLeaving, 0))
 		}
+		*q = nil
 	}
 	if s.exclusive.Ticket != 0 {
 		out = append(out, refuse(s.exclusive.Ticket, model.ReasonLeaving, 0))
--- a/internal/decision/admission/admission_test.go
+++ b/internal/decision/admission/admission_test.go
@@ -35,7 +35,11 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var ticket, slots, long, queue, at int
 			class := "short"
-			deadline := 1000
+			deadline, useful, priority := 1000, 0, 0
+			kind := ""
+			d.MaybeScanArgs(t, "useful", &useful)
+			d.MaybeScanArgs(t, "priority", &priority)
+			d.MaybeScanArgs(t, "kind", &kind)
 			d.MaybeScanArgs(t, "ticket", &ticket)
 			d.MaybeScanArgs(t, "class", &class)
 			d.MaybeScanArgs(t, "deadline", &deadline)
@@ -56,6 +60,10 @@
 				r := admission.Request{
 					Ticket: admission.Ticket(ticket), Class: model.Class(class),
 					Deadline: start.Add(time.Duration(deadline) * time.Millisecond), Exclusive: d.HasArg("exclusive"),
+					Priority: priority, Kind: kind,
+				}
+				if useful > 0 {
+					r.UsefulUntil = start.Add(time.Duration(useful) * time.Millisecond)
 				}
 				return format(s.Arrive(r, now))
 			case "finish":
--- a/internal/decision/admission/dispatch.go
+++ b/internal/decision/admission/dispatch.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/galenalever/galenalever/internal/model"
@@ -36,7 +37,7 @@
 }
 
 func (s *State) start(r Request, now time.Time) {
-	s.running[r.Ticket] = running{class: r.Class, exclusive: r.Exclusive, since: now}
+	s.running[r.Ticket] = running{class: r.Class, kind: r.Kind, exclusive: r.Exclusive, since: now}
 	if r.Class == model.ClassLong {
 		s.long++
 	}
@@ -63,20 +64,21 @@
 	return s.dispatch(now)
 }
 
-// dispatch starts queued requests while slots are free, earliest deadline
-// first, and refuses those that can no longer finish in time.
+// dispatch starts queued requests while slots are free, in order of their rank,
+// and refuses those that can no longer finish in time.
 func (s *State) dispatch(now time.Time) []Decision {
-	var out []Decision
 	if s.exclusive.Ticket != 0 {
 		return s.dispatchExclusive(now)
 	}
+	var out []Decision
 	for {
-		q := s.nextQueue()
+		q, i := s.next(now)
 		if q == nil {
 			return out
 		}
-		r := q.pop()
-		if now.Add(s.average(r.Class).value()).After(r.Deadline) || !r.Deadline.After(now) {
+		r := (*q)[i]
+		*q = slices.Delete(*q, i, i+1)
+		if now.Add(s.expected(r)).After(r.Deadline) || !r.Deadline.After(now) {
 			out = append(out, refuse(r.Ticket, model.ReasonLate, 0))
 			continue
 		}
@@ -99,19 +101,24 @@
 	return []Decision{{Ticket: r.Ticket, Verdict: Run}}
 }
 
-// nextQueue returns the queue whose first request may start and has the
-// earliest deadline, or nil.
-func (s *State) nextQueue() *queue {
+// next returns the place of the request that starts next, or nil if none may.
+func (s *State) next(now time.Time) (*queue, int) {
 	var best *queue
-	if s.shortQueue.len() > 0 && s.free(model.ClassShort) {
-		best = &s.shortQueue
-	}
-	if s.longQueue.len() > 0 && s.free(model.ClassLong) {
-		if best == nil || s.longQueue.first().Deadline.Before(best.first().Deadline) {
-			best = &s.longQueue
+	position := 0
+	for _, candidate := range []struct {
+		queue *queue
+		class model.Class
+	}{{&s.shortQueue, model.ClassShort}, {&s.longQueue, model.ClassLong}} {
+		q := *candidate.queue
+		if len(q) == 0 || !s.free(candidate.class) {
+			continue
+		}
+		i := s.first(q, now)
+		if best == nil || s.compare(q[i], (*best)[position], now) < 0 {
+			best, position = candidate.queue, i
 		}
 	}
-	return best
+	return best, position
 }
 
 func (s *State) queue(class model.Class) *queue {
@@ -122,10 +129,10 @@
 }
 
 func (s *State) queueFull(class model.Class) bool {
-	if s.shortQueue.len()+s.longQueue.len() >= s.limits.Queue {
+	if len(s.shortQueue)+len(s.longQueue) >= s.limits.Queue {
 		return true
 	}
-	return class == model.ClassLong && s.longQueue.len() >= s.limits.longQueue()
+	return class == model.ClassLong && len(s.longQueue) >= s.limits.longQueue()
 }
 
 func (s *State) average(class model.Class) *average {
@@ -136,12 +143,28 @@
 }
 
 // predictedWait estimates how long a request waits for a slot, from the queued
-// requests of its class with an earlier deadline and recent service times.
-func (s *State) predictedWait(r Request) time.Duration {
+// requests of its class that go before it and recent service times.
+func (s *State) predictedWait(r Request, now time.Time) time.Duration {
 	slots := s.limits.LongSlots
 	if r.Class != model.ClassLong {
 		slots = s.limits.Slots - s.long
 	}
-	ahead := s.queue(r.Class).countBefore(r.Deadline)
+	ahead := s.countBefore(*s.queue(r.Class), r, now)
 	return s.average(r.Class).value() * time.Duration(ahead+1) / time.Duration(max(1, slots))
 }
+
+// hopeless reports whether a request would not finish in time after a wait. One
+// whose answer could be of full use must finish while it is; of the others only
+// those may wait that start soon, since they would hold up their callers.
+func (s *State) hopeless(r Request, wait time.Duration, now time.Time) bool {
+	service := s.expected(r)
+	end := now.Add(wait + service)
+	switch {
+	case end.After(r.Deadline):
+		return true
+	case !end.After(r.due()):
+		return false
+	default:
+		return wait > service
+	}
+}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -26,6 +26,7 @@
 	HeaderIdempotent  = "Galena-Idempotent"
 	HeaderAttempt     = "Galena-Attempt"
 	HeaderTimeout     = "Galena-Timeout-Us"
+	HeaderUseful      = "Galena-Useful-Us"
 	HeaderIncarnation = "Galena-Incarnation"
 	HeaderTime        = "Galena-Time"
 	HeaderOutcome     = "Galena-Outcome"
@@ -56,6 +57,8 @@
 	Attempt int
 	// Timeout is the time left until the caller's deadline.
 	Timeout time.Duration
+	// Useful is the time left in which an answer is of full use.
+	Useful time.Duration
 	// Incarnation is the gate's process that the caller's node means; 0 means
 	// any. A gate refuses a request that means another process.
 	Incarnation model.Incarnation
@@ -74,6 +77,7 @@
 	h.Set(HeaderIdempotent, strconv.FormatBool(r.Idempotent))
 	h.Set(HeaderAttempt, strconv.Itoa(r.Attempt))
 	h.Set(HeaderTimeout, strconv.FormatInt(r.Timeout.Microseconds(), 10))
+	h.Set(HeaderUseful, strconv.FormatInt(r.Useful.Microseconds(), 10))
 	h.Set(HeaderIncarnation, strconv.FormatUint(uint64(r.Incarnation), 10))
 	h.Set(HeaderTime, strconv.FormatUint(uint64(r.Time), 10))
 }
@@ -93,6 +97,9 @@
 	var ok [4]bool
 	var attempt, incarnation, now, priority int64
 	priority, _ = number(h, HeaderPriority) // a request without one is the most urgent
+	if r.Useful, ok[1] = microseconds(h, HeaderUseful); !ok[1] {
+		r.Useful, _ = microseconds(h, HeaderTimeout) // until the deadline, which is checked below
+	}
 	attempt, ok[0] = number(h, HeaderAttempt)
 	r.Timeout, ok[1] = microseconds(h, HeaderTimeout)
 	incarnation, ok[2] = number(h, HeaderIncarnation)
--- a/internal/service/forward/attempt.go
+++ b/internal/service/forward/attempt.go
@@ -90,15 +90,16 @@
 }
 
 // nodeHeaders is the number of headers that hop.Request sets.
-const nodeHeaders = 12
+const nodeHeaders = 13
 
 func (s *Service) nodeRequest(a attempt) hop.Request {
-	q := a.request
+	q, now := a.request, s.clock.Now()
 	r := hop.Request{
 		ID: q.ID, Service: q.Destination.Service.Name, Route: q.Route.Name,
 		Target: a.endpoint.ID.Instance, Origin: s.config.Origin,
 		Class: q.Route.Class, Priority: q.Route.Priority, Idempotent: q.Route.Idempotent, Attempt: a.number,
-		Timeout:     q.Deadline.Sub(s.clock.Now()),
+		Timeout:     q.Deadline.Sub(now),
+		Useful:      max(q.UsefulUntil.Sub(now), 0),
 		Incarnation: a.endpoint.ID.Incarnation,
 	}
 	if s.config.Time != nil {
--- a/internal/service/ingress/log.go
+++ b/internal/service/ingress/log.go
@@ -19,6 +19,8 @@
 	caller   frontend.CallerRequest
 	begin    time.Time
 	attempts int
+	// from is the address of the caller.
+	from string
 	// retryAfter is what a refused caller was told.
 	retryAfter time.Duration
 }
@@ -36,7 +38,7 @@
 		return
 	}
 	attrs := make([]slog.Attr, 0, 14)
-	attrs = append(attrs, slog.String("request", string(entry.id)))
+	attrs = append(attrs, slog.String("request", string(entry.id)), slog.String("from", entry.from))
 	if rt != nil {
 		attrs = append(attrs, slog.String("route", rt.Name), slog.String("to", string(entry.match.Destination.Service.Name)),
 			slog.Int("servers", len(entry.match.Destination.Endpoints)))
--- a/internal/service/ingress/serve.go
+++ b/internal/service/ingress/serve.go
@@ -31,7 +31,7 @@
 	if refused == nil && headerFault != nil {
 		refused = notRun(http.StatusBadRequest, reasonInvalid)
 	}
-	entry := requestLog{id: id, match: match, begin: begin, caller: caller}
+	entry := requestLog{id: id, match: match, begin: begin, caller: caller, from: r.RemoteAddr}
 	if refused != nil {
 		s.refuse(w, entry, *refused)
 		return
@@ -46,6 +46,7 @@
 		return
 	}
 	request := newRequest(r, id, match, body, deadline)
+	request.UsefulUntil = s.usefulUntil(caller, match.Route, begin, deadline)
 	answer := s.forwarder.Forward(ctx, request)
 	s.metrics.countAttempts(match.Route, answer.Attempts)
 	entry.attempts = answer.Attempts
--- a/internal/service/ingress/service.go
+++ b/internal/service/ingress/service.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -85,6 +86,8 @@
 	idPrefix  string
 	lastID    atomic.Uint64
 	inFlight  atomic.Int64
+	// longestWaits holds the longest wait of callers by route.
+	longestWaits sync.Map // routeKey -> *atomic.Int64
 }
 
 // New returns the service.
