Notice at the gate that the caller of a queued request with a body has gone

Requests also stayed in the queue of a server that had turned slow until their deadline, and were then reported as unknown. Ruled out: the caller's node (its attempt was cancelled 0.1 ms after the client left). Change: the gate reads small bodies before it queues and asks for large ones before it sends the head; requests that waited past their objective leave the queue as not run; callers that have no time to come again are useful until their deadline.

--- a/internal/decision/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -46,6 +46,9 @@
 	// UsefulUntil is the time until which an answer is of full use; zero means
 	// until the deadline.
 	UsefulUntil time.Time
+	// waitsUntil is when a request that still waits is refused, so that it can be
+	// sent elsewhere.
+	waitsUntil time.Time
 	// Exclusive requests run only while no other request holds a slot.
 	Exclusive bool
 }
@@ -137,6 +140,7 @@
 	if !s.limits.KeepLate && s.hopeless(r, wait, now) {
 		return refuse(r.Ticket, model.ReasonLate, wait)
 	}
+	r.waitsUntil = s.waitsUntil(r, wait, now)
 	q := s.queue(r.Class)
 	*q = append(*q, r)
 	return Decision{Ticket: r.Ticket, Verdict: Wait}
--- a/internal/decision/admission/dispatch.go
+++ b/internal/decision/admission/dispatch.go
@@ -70,7 +70,7 @@
 	if s.exclusive.Ticket != 0 {
 		return s.dispatchExclusive(now)
 	}
-	var out []Decision
+	out := s.refuseOverdue(now)
 	for {
 		q, i := s.next(now)
 		if q == nil {
@@ -168,3 +168,40 @@
 		return wait > service
 	}
 }
+
+// waitsUntil returns how long a request may wait. One whose answer could be of
+// full use may as long as that holds, any other for about as long as it was
+// expected to.
+func (s *State) waitsUntil(r Request, wait time.Duration, now time.Time) time.Time {
+	if s.limits.KeepLate || r.UsefulUntil.IsZero() {
+		return r.Deadline
+	}
+	if s.useful(r, now.Add(wait)) {
+		return r.UsefulUntil
+	}
+	return now.Add(wait + s.expected(r))
+}
+
+// refuseOverdue refuses the requests that have waited for longer than they may,
+// unless a slot is free for them.
+func (s *State) refuseOverdue(now time.Time) []Decision {
+	var out []Decision
+	for _, class := range []model.Class{model.ClassShort, model.ClassLong} {
+		q := s.queue(class)
+		free := s.limits.Slots - len(s.running)
+		if len(*q) <= free {
+			continue
+		}
+		kept := (*q)[:0]
+		for _, r := range *q {
+			if now.After(r.waitsUntil) {
+				out = append(out, refuse(r.Ticket, model.ReasonLate, s.average(class).value()))
+				continue
+			}
+			kept = append(kept, r)
+		}
+		clear((*q)[len(kept):])
+		*q = kept
+	}
+	return out
+}
--- a/internal/decision/balance/baseline.go
+++ b/internal/decision/balance/baseline.go
@@ -20,14 +20,14 @@
 const ReportedLag = 5 * time.Second
 
 // ChooseBy is Choose under a policy.
-func ChooseBy(policy Policy, pool Pool, now time.Duration, random Source) int {
+func ChooseBy(policy Policy, pool Pool, locality, now time.Duration, random Source) int {
 	switch policy {
 	case PolicyRandom:
 		return chooseBaseline(pool, now, random, func(Statistics) int { return 0 })
 	case PolicyReported:
 		return chooseBaseline(pool, now, random, func(s Statistics) int { return s.Load.InFlight + s.Load.Queued })
 	default:
-		return Choose(pool, now, random)
+		return Choose(pool, locality, now, random)
 	}
 }
 
--- a/internal/decision/balance/choose.go
+++ b/internal/decision/balance/choose.go
@@ -7,9 +7,19 @@
 const SubsetSize = 16
 
 // crossDomainPenalty is how much longer the local choice may take before a
-// request leaves the failure domain.
+// request without an objective leaves the failure domain.
 const crossDomainPenalty = 8 * time.Millisecond
 
+// objectiveForLocality is the part of a request's objective that staying in the
+// failure domain may cost, since links between domains are costly.
+const objectiveForLocality = 0.3
+
+// LocalityOf returns how much longer the local choice may take before a request
+// with the objective leaves the failure domain; 0 means that it has none.
+func LocalityOf(objective time.Duration) time.Duration {
+	return max(time.Duration(objectiveForLocality*float64(objective)), crossDomainPenalty)
+}
+
 // Pool is the servers of one service in the caller's order of preference.
 type Pool interface {
 	Len() int
@@ -19,8 +29,9 @@
 // None is the choice when no server can take the request.
 const None = -1
 
-// Choose returns the position of the server that takes the request, or None.
-func Choose(pool Pool, now time.Duration, random Source) int {
+// Choose returns the position of the server that takes the request, or None. A
+// request stays in the failure domain unless that takes longer by locality.
+func Choose(pool Pool, locality, now time.Duration, random Source) int {
 	var local, remote candidates
 	usable, ejected := collect(pool, now, &local, &remote, false)
 	if ejected > usable {
@@ -29,7 +40,7 @@
 		local, remote = candidates{}, candidates{}
 		collect(pool, now, &local, &remote, true)
 	}
-	return better(pool, pickTwo(pool, &local, now, random), pickTwo(pool, &remote, now, random), now)
+	return better(pool, pickTwo(pool, &local, now, random), pickTwo(pool, &remote, now, random), locality, now)
 }
 
 // candidates is a bounded set of positions in a pool.
@@ -113,7 +124,7 @@
 }
 
 // better chooses between the best local and the best remote server.
-func better(pool Pool, local, remote int, now time.Duration) int {
+func better(pool Pool, local, remote int, locality, now time.Duration) int {
 	if local == None {
 		return remote
 	}
@@ -127,7 +138,7 @@
 		}
 		return local
 	}
-	if l.cost(now) > r.cost(now)+crossDomainPenalty {
+	if l.cost(now) > r.cost(now)+locality {
 		return remote
 	}
 	return local
--- a/internal/service/balancer/balancer.go
+++ b/internal/service/balancer/balancer.go
@@ -79,12 +79,14 @@
 
 // Pick chooses a server of the destination that is not among tried and counts
 // the attempt as outstanding. It returns nil if there is none. Every pick must
-// be followed by one Done.
-func (s *Service) Pick(d *route.Destination, class model.Class, tried []*route.Endpoint) *route.Endpoint {
+// be followed by one Done. The objective is that of the request, or 0.
+func (s *Service) Pick(
+	d *route.Destination, class model.Class, objective time.Duration, tried []*route.Endpoint,
+) *route.Endpoint {
 	p := s.pool(d)
 	now := s.now()
 	view := poolView{pool: p, class: classIndex(class), tried: tried, now: now}
-	chosen := balance.ChooseBy(s.config.Policy, &view, now, s.config.Random)
+	chosen := balance.ChooseBy(s.config.Policy, &view, balance.LocalityOf(objective), now, s.config.Random)
 	if chosen == balance.None {
 		return nil
 	}
--- a/internal/service/forward/series.go
+++ b/internal/service/forward/series.go
@@ -92,7 +92,7 @@
 	if q.Keyed() {
 		endpoint = r.service.chooser.PickOwner(q.Destination, q.Route.Class, q.IdempotencyKey, r.tried)
 	} else {
-		endpoint = r.service.chooser.Pick(q.Destination, q.Route.Class, r.tried)
+		endpoint = r.service.chooser.Pick(q.Destination, q.Route.Class, q.Route.Objective, r.tried)
 	}
 	if endpoint != nil {
 		r.tried = append(r.tried, endpoint)
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -22,6 +22,10 @@
 		s.endUncopied(c, r)
 		return
 	}
+	if !c.askForBody() {
+		s.endNotRun(c, notRun(model.ReasonCancelled))
+		return
+	}
 	c.started = s.clock.Now()
 	out := outgoing(ctx, c.r)
 	s.headers.ToServer(out.Header, frontend.ServerRequest{
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -145,6 +145,10 @@
 		go func() { n.stopped <- n.gate.Stop(context.Background()) }()
 	case "stopped":
 		return fmt.Sprintln("error:", <-n.stopped)
+	case "queued": // returns when so many requests wait
+		var count int
+		d.ScanArgs(s.t, "count", &count)
+		waitFor(func() bool { return n.gate.Stats().Queued == count })
 	case "in-flight": // returns when so many requests hold slots
 		waitFor(func() bool { return n.gate.Stats().InFlight == count })
 	case "suspects": // returns when the node knows so many
--- a/internal/service/gate/serve.go
+++ b/internal/service/gate/serve.go
@@ -34,6 +34,10 @@
 		s.refuse(c, r)
 		return
 	}
+	if r := c.holdBody(); r != nil {
+		s.refuse(c, r)
+		return
+	}
 	s.decide(c)
 }
 
--- a/internal/service/gate/slots.go
+++ b/internal/service/gate/slots.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/decision/admission"
@@ -88,10 +89,15 @@
 	}
 }
 
+// answerMargin is the time before the deadline at which a request leaves the
+// queue, so that its caller's node hears in time that it did not run. It covers
+// the way between two failure domains.
+const answerMargin = 20 * time.Millisecond
+
 // awaitSlot waits in the queue until there is a decision, the deadline passes or
 // the caller's node goes away.
 func (s *Service) awaitSlot(c *call) admission.Decision {
-	ctx, cancel := clock.WithTimeout(c.r.Context(), s.clock, c.deadline.Sub(s.clock.Now()))
+	ctx, cancel := clock.WithTimeout(c.r.Context(), s.clock, c.deadline.Sub(s.clock.Now())-answerMargin)
 	defer cancel()
 	select {
 	case d := <-c.slot:
--- a/internal/service/ingress/deadline.go
+++ b/internal/service/ingress/deadline.go
@@ -32,7 +32,11 @@
 	}
 	age := time.Duration(0)
 	if caller.Timeout > 0 {
-		age = max(s.longestWait(rt, caller.Timeout)-caller.Timeout, 0)
+		longest := s.longestWait(rt, caller.Timeout)
+		if longest <= rt.Deadline {
+			return deadline // callers have no time to come again, so late answers serve them too
+		}
+		age = max(longest-caller.Timeout, 0)
 	}
 	useful := now.Add(rt.Objective - age)
 	if useful.After(deadline) {
--- a/internal/service/ingress/fakes_test.go
+++ b/internal/service/ingress/fakes_test.go
@@ -97,8 +97,8 @@
 	return &observedBalancer{Service: s, reports: make(chan struct{}, enough)}
 }
 
-func (b *observedBalancer) Pick(d *route.Destination, class model.Class, tried []*route.Endpoint) *route.Endpoint {
-	return b.picked(b.Service.Pick(d, class, tried))
+func (b *observedBalancer) Pick(d *route.Destination, class model.Class, objective time.Duration, tried []*route.Endpoint) *route.Endpoint {
+	return b.picked(b.Service.Pick(d, class, objective, tried))
 }
 
 func (b *observedBalancer) PickOwner(
