--- /dev/null
+++ b/internal/decision/retry/mesh_test.go
@@ -0,0 +1,48 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/galenalever/galenalever/internal/decision/retry"
+)
+
+// TestSharesKeepTheLimits checks for any load on any number of nodes that the
+// retries of all of them, in any window, stay within ratio and slack.
+func TestSharesKeepTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := retry.Limits{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}
+		nodes := rapid.IntRange(1, 40).Draw(t, "nodes")
+		shares := make([]*retry.Share, nodes)
+		for i := range shares {
+			shares[i] = retry.NewShare(limits)
+		}
+		const step = 100 * time.Millisecond
+		steps := int(limits.Window / step)
+		var requests, retries []int
+		for i := range 3 * steps {
+			now := time.Duration(i) * step
+			sent, again := 0, 0
+			for range rapid.IntRange(0, 30).Draw(t, "requests") {
+				share := shares[rapid.IntRange(0, nodes-1).Draw(t, "node")]
+				share.Deposit(now, nodes)
+				sent++
+				if share.Withdraw(now, nodes) {
+					again++
+				}
+			}
+			requests, retries = append(requests, sent), append(retries, again)
+		}
+		for begin := range len(requests) - steps {
+			sent, again := 0, 0
+			for i := begin; i < begin+steps; i++ {
+				sent, again = sent+requests[i], again+retries[i]
+			}
+			if allowed := limits.Ratio*float64(sent) + limits.Slack; float64(again) > allowed {
+				t.Fatalf("%d retries of %d requests in a window, %.0f allowed", again, sent, allowed)
+			}
+		}
+	})
+}
--- a/internal/service/source/instances.go
+++ b/internal/service/source/instances.go
@@ -15,18 +15,33 @@
 func (s *Service) watchInstances(ctx context.Context, retry *retrier, current order) {
 	var wait time.Duration
 	for ctx.Err() == nil {
-		received, err := s.listInstances(ctx, wait)
+		received, err := s.listInstances(ctx, s.lapses.Wait(wait, s.clock.Now()))
 		if err != nil {
 			retry.failed(ctx, err)
 			continue
 		}
+		now := s.clock.Now()
+		if retry.failures > 0 {
+			s.lapses.Regained(now)
+		}
 		retry.succeeded()
 		wait = s.config.Pacing.WatchWait
-		s.postMembers(ctx, received, current)
+		s.postMembers(ctx, s.withoutLapsed(received, now), current)
 		s.pace(ctx)
 	}
 }
 
+// withoutLapsed holds back removals that an outage of the platform may have
+// caused, and adds those that were held for long enough.
+func (s *Service) withoutLapsed(received []model.Member, now time.Time) []model.Member {
+	view := s.members.Load()
+	held := s.lapses.Take(received, view.Get, view.Len(), now)
+	if n := len(received) - len(held); n > 0 {
+		s.log.Info("removals held back, since entries may have lapsed in an outage", "count", n)
+	}
+	return append(held, s.lapses.Due(now)...)
+}
+
 func (s *Service) postMembers(ctx context.Context, received []model.Member, current order) {
 	var messages []kernel.Message
 	if len(received) > 0 {
--- a/internal/service/source/source.go
+++ b/internal/service/source/source.go
@@ -16,6 +16,7 @@
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/backoff"
 	"github.com/galenalever/galenalever/internal/decision/members"
+	"github.com/galenalever/galenalever/internal/decision/reading"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
@@ -104,6 +105,8 @@
 	// instancesSeen is the newest revision of the list of instances. Only the
 	// goroutine that watches the list touches it.
 	instancesSeen model.Revision
+	// lapses belongs to the same goroutine.
+	lapses reading.Lapses
 }
 
 // order is what the I/O goroutines have to read.
