Follow the list at the gate when its server has been replaced

Ruled out: servers that are full (the gate keeps to their slots: 31 rejections besides). Change: a gate names the newest life that the list shows at its own address, and refuses at once while that one is known to be gone; a table has one endpoint an address. Test: route/split_test.go.

--- a/internal/decision/route/endpoint.go
+++ b/internal/decision/route/endpoint.go
@@ -58,8 +58,9 @@
 
 func presentEndpoints(members []model.Member) []*Endpoint {
 	endpoints := make([]*Endpoint, 0, len(members))
+	newest := newestAt(members)
 	for _, m := range members {
-		if !m.Present() || m.Addresses.Traffic == "" {
+		if !m.Present() || m.Addresses.Traffic == "" || newest[m.Addresses.Traffic] != m.ID {
 			continue
 		}
 		endpoints = append(endpoints, &Endpoint{
@@ -73,6 +74,23 @@
 	return endpoints
 }
 
+// newestAt returns the latest life of the present servers at each address: the
+// list may still name one that has been replaced.
+func newestAt(members []model.Member) map[string]model.InstanceID {
+	newest := make(map[string]model.Member, len(members))
+	for _, m := range members {
+		known, ok := newest[m.Addresses.Traffic]
+		if m.Present() && (!ok || m.NewerThan(known)) {
+			newest[m.Addresses.Traffic] = m
+		}
+	}
+	out := make(map[string]model.InstanceID, len(newest))
+	for address, m := range newest {
+		out[address] = m.ID
+	}
+	return out
+}
+
 // reuseEndpoints replaces equal endpoints by those of old. Both are ordered by
 // instance.
 func reuseEndpoints(endpoints, old []*Endpoint) {
--- a/internal/decision/route/split_test.go
+++ b/internal/decision/route/split_test.go
@@ -29,3 +29,21 @@
 		}
 	}
 }
+
+// TestReplacedServerAtAnAddress checks that of two listed lives of a server at
+// one address only the later one takes requests.
+func TestReplacedServerAtAnAddress(t *testing.T) {
+	at := func(id string, started model.Incarnation, listedAt model.Revision) model.Member {
+		return model.Member{
+			ID: model.InstanceID(id), Service: "t/a", Listed: model.ListingLive, ListedAt: listedAt, Started: started,
+			Addresses: model.Addresses{Traffic: "10.0.0.1:80"},
+		}
+	}
+	tree := &model.Tree{Services: map[model.ServiceName]*model.Service{"t/a": {Name: "t/a"}}}
+	members := []model.Member{at("i-old", 1, 9), at("i-new", 2, 5)}
+	table := route.Empty().WithTree(tree, func(model.ServiceName) []model.Member { return members })
+	endpoints := table.Destination("t/a").Endpoints
+	if len(endpoints) != 1 || endpoints[0].ID.Instance != "i-new" {
+		t.Fatalf("%d endpoints, the first is %v", len(endpoints), endpoints[0].ID)
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -62,6 +62,8 @@
 	Anonymous bool
 	// NotRun is true if the server states that it did not run the request.
 	NotRun bool
+	// Misdirected is true if another instance has answered than was meant.
+	Misdirected bool
 	// Load is the server's own account of its load, if Loaded.
 	Load   Load
 	Loaded bool
--- a/internal/model/member.go
+++ b/internal/model/member.go
@@ -120,3 +120,12 @@
 		return false
 	}
 }
+
+// NewerThan reports whether the record is of a later life of a server than
+// another one at the same address.
+func (m Member) NewerThan(other Member) bool {
+	if m.Started != other.Started {
+		return m.Started > other.Started
+	}
+	return m.ListedAt > other.ListedAt
+}
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -57,8 +57,11 @@
 	// itself goes on. listedSlots is 0 while the list names no slots.
 	withdrawn   atomic.Bool
 	listedSlots atomic.Int64
-	counters    *counters
-	overload    atomic.Int64 // time of the last event about overload, in ns
+	// current is the ID under which the platform lists the own server, gone one
+	// under which it no longer answers; both hold a model.InstanceID.
+	current, gone atomic.Value
+	counters      *counters
+	overload      atomic.Int64 // time of the last event about overload, in ns
 
 	mu        sync.Mutex
 	tickets   admission.Ticket
--- a/internal/service/gate/listing.go
+++ b/internal/service/gate/listing.go
@@ -14,6 +14,7 @@
 // and whether the platform has it leave. It runs on the control loop.
 func (s *Service) applyListing() {
 	listed, present, slots := false, false, 0
+	var newest model.Member
 	for _, m := range s.partners.members.ServiceMembers(s.self.Service) {
 		if !s.isOwn(m) || m.Listed == model.ListingUnknown {
 			continue
@@ -21,8 +22,12 @@
 		listed = true
 		if m.Present() {
 			present, slots = true, m.Slots
+			if newest.ID == "" || m.NewerThan(newest) {
+				newest = m
+			}
 		}
 	}
+	s.current.Store(newest.ID)
 	withdrawn := listed && !present
 	if s.withdrawn.Swap(withdrawn) != withdrawn {
 		s.log.Info("the platform's listing of the own server changed", "withdrawn", withdrawn)
@@ -31,3 +36,19 @@
 		s.configure()
 	}
 }
+
+// target returns the instance that a call is meant for. The list may name a
+// newer life of the own server than the one that the caller's node has chosen.
+func (s *Service) target(c *call) model.InstanceID {
+	if own, _ := s.current.Load().(model.InstanceID); own != "" {
+		return own
+	}
+	return c.Target
+}
+
+// displaced reports whether the target has been found to be gone from behind
+// this gate, and the list does not name its successor yet.
+func (s *Service) displaced(c *call) bool {
+	gone, _ := s.gone.Load().(model.InstanceID)
+	return gone != "" && s.target(c) == gone
+}
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -27,9 +27,9 @@
 		return
 	}
 	c.started = s.clock.Now()
-	out := outgoing(ctx, c.r)
+	out, target := outgoing(ctx, c.r), s.target(c)
 	s.headers.ToServer(out.Header, frontend.ServerRequest{
-		TimeLeft: c.deadline.Sub(s.clock.Now()), Target: c.Target, Origin: c.Origin,
+		TimeLeft: c.deadline.Sub(s.clock.Now()), Target: target, Origin: c.Origin,
 	})
 	response, err := s.partners.server.Do(out, c.deadline, c.Idempotent)
 	if err != nil {
@@ -37,17 +37,22 @@
 		return
 	}
 	defer response.Body.Close()
-	s.received(ctx, c, response)
+	s.received(ctx, c, response, target)
 }
 
 // received passes on an answer of the server that belongs to the call.
-func (s *Service) received(ctx context.Context, c *call, response *http.Response) {
+func (s *Service) received(ctx context.Context, c *call, response *http.Response, target model.InstanceID) {
 	said := s.headers.FromServer(response.StatusCode, response.Header)
 	switch {
 	case !said.Anonymous && said.ID != c.ID:
 		// The answer to an earlier request; that to this one is not known.
 		s.release(c, false)
 		s.refuse(c, unknown(model.ReasonBrokenAnswer))
+	case said.Misdirected:
+		s.log.Info("another server has taken the place of the own one", "request", c.ID, "instance_gone", target)
+		s.gone.Store(target)
+		s.dropCopies(c)
+		s.endNotRun(c, notRun(model.ReasonServerRefused))
 	case said.NotRun:
 		s.dropCopies(c)
 		s.endNotRun(c, notRun(model.ReasonServerRefused))
--- a/internal/service/gate/serve.go
+++ b/internal/service/gate/serve.go
@@ -86,6 +86,8 @@
 		return notRun(model.ReasonLate)
 	case !s.partners.server.Available():
 		return notRun(model.ReasonBackendDown)
+	case s.displaced(c):
+		return notRun(model.ReasonNoServer)
 	}
 	return nil
 }
