--- a/internal/decision/balance/choose.go
+++ b/internal/decision/balance/choose.go
@@ -12,7 +12,7 @@
 
 // objectiveForLocality is the part of a request's objective that staying in the
 // failure domain may cost, since links between domains are costly.
-const objectiveForLocality = 0.3
+const objectiveForLocality = 0.5
 
 // LocalityOf returns how much longer the local choice may take before a request
 // with the objective leaves the failure domain; 0 means that it has none.
