Shrink what a gate remembers on the platform; look for silent changes of settings

Cause: finished bookings were remembered for 10 minutes, although no client of the platform repeats one under its ID; a settings file may change without a signal; a refusal named the time in which one queue drains (about 100 ms), within one overload.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,8 +45,10 @@
 		Platform: source.NewClient(line.Platform),
 		Parse:    document.NewSubtree,
 		Headers:  frontend.Native{},
-		Reload: func(log *slog.Logger) {
-			log.Info("the settings are flags and environment variables; a change needs a restart")
+		Reload: func(log *slog.Logger, signalled bool) {
+			if signalled {
+				log.Info("the settings are flags and environment variables; a change needs a restart")
+			}
 		},
 	}
 	return Run(&line.Daemon, surroundings, stdout, stderr)
@@ -64,8 +66,9 @@
 	Pacing source.Pacing
 	// RetryLimits bound the retries over all nodes; none if zero.
 	RetryLimits retry.Limits
-	// Reload is called after SIGHUP.
-	Reload func(*slog.Logger)
+	// Reload is called after SIGHUP with signalled set, and now and then without,
+	// since settings may change silently.
+	Reload func(log *slog.Logger, signalled bool)
 }
 
 // Run checks the settings, runs a node until SIGTERM or an interrupt, and
@@ -118,6 +121,10 @@
 	_ = logs.Close(ctx) // a reader that does not read loses the last lines
 }
 
+// reloadInterval is the time between two looks at settings that may have
+// changed without a signal.
+const reloadInterval = 5 * time.Second
+
 // run starts the node and waits for the end of ctx, then drains and stops.
 func run(ctx context.Context, d *settings.Daemon, where Surroundings, hangups <-chan os.Signal, log *slog.Logger) error {
 	l, err := openListeners(d)
@@ -136,11 +143,15 @@
 	log.Info("node started", "service", self.Service, "domain", self.Domain, "incarnation", self.Incarnation,
 		"callers", l.callers.Addr().String(), "traffic", l.traffic.Addr().String(),
 		"control", l.control.Addr().String(), "operator", l.operator.Addr().String())
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-hangups:
 			log.Info("reload requested by signal")
-			where.Reload(log)
+			where.Reload(log, true)
+		case <-ticker.C:
+			where.Reload(log, false)
 		case <-ctx.Done():
 			return drain(d, k, log)
 		}
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -61,11 +61,12 @@
 		}),
 		quarantine.New(quarantine.Config{Self: self}),
 		gate.New(gate.Config{
-			Self:       self,
-			Listener:   l.traffic,
-			Timestamps: events.Clock(),
-			Headers:    where.Headers,
-			KeepLate:   d.Admission == settings.AdmissionUnbounded,
+			Self:        self,
+			Listener:    l.traffic,
+			Timestamps:  events.Clock(),
+			Headers:     where.Headers,
+			RememberFor: d.RememberFor,
+			KeepLate:    d.Admission == settings.AdmissionUnbounded,
 		}),
 		ingress.New(ingress.Config{Self: self, Listener: l.callers, Headers: where.Headers}),
 	}
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -35,6 +35,9 @@
 	Headers frontend.Headers
 	// KeepLate is admission.Limits.KeepLate, for experiments.
 	KeepLate bool
+	// RememberFor is how long finished requests are remembered; 0 means 10
+	// minutes.
+	RememberFor time.Duration
 }
 
 // Service implements the kernel's service "gate". It is an http.Handler, so that
@@ -89,6 +92,10 @@
 	if c.Headers == nil {
 		c.Headers = frontend.Native{}
 	}
+	bounds := memoryBounds
+	if c.RememberFor > 0 {
+		bounds.Window = c.RememberFor
+	}
 	s := &Service{
 		self:       c.Self,
 		listener:   c.Listener,
@@ -97,7 +104,7 @@
 		keepLate:   c.KeepLate,
 		closed:     make(chan struct{}),
 		admission:  admission.New(admission.Limits{}),
-		memory:     dedupe.New(memoryBounds),
+		memory:     dedupe.New(bounds),
 		queued:     make(map[admission.Ticket]chan admission.Decision),
 		repeats:    make(map[dedupe.Waiter]chan dedupe.Decision),
 		idle:       make(chan struct{}),
--- a/internal/service/ingress/refusal.go
+++ b/internal/service/ingress/refusal.go
@@ -74,6 +74,10 @@
 // gate gave a delay.
 const defaultRetryAfter = time.Second
 
+// minRetryAfter is the shortest delay that a refused caller is told: demand
+// swings over seconds, so whoever comes back sooner meets the same overload.
+const minRetryAfter = 400 * time.Millisecond
+
 // refuse answers a request that has no answer of a server.
 func (s *Service) refuse(w http.ResponseWriter, entry requestLog, r refusal) {
 	entry.retryAfter = r.retryAfter
@@ -81,8 +85,8 @@
 	h := w.Header()
 	told := frontend.Refusal{Status: r.status, Outcome: r.outcome, Reason: r.reason}
 	if r.status == http.StatusServiceUnavailable {
-		told.RetryAfter = r.retryAfter
-		if told.RetryAfter <= 0 {
+		told.RetryAfter = max(r.retryAfter, minRetryAfter)
+		if r.retryAfter <= 0 {
 			told.RetryAfter = defaultRetryAfter
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,8 @@
 	DrainLead    time.Duration `help:"How long a node that shuts down goes on taking callers, so that they are sent elsewhere first." env:"GALENA_DRAIN_LEAD" default:"0s"`
 	DrainTimeout time.Duration `help:"Longest wait for running requests at shutdown." env:"GALENA_DRAIN_TIMEOUT" default:"5m"`
 
+	RememberFor time.Duration `help:"How long a gate remembers finished requests that are not idempotent, for their repeats." env:"GALENA_REMEMBER_FOR" default:"10m"`
+
 	Balancer  string `help:"Choice of a server: adaptive, or a baseline for experiments, random or reported." env:"GALENA_BALANCER" enum:"adaptive,random,reported" default:"adaptive"`
 	Admission string `help:"Admission at the gate: bounded, or a baseline for experiments, unbounded." env:"GALENA_ADMISSION" enum:"bounded,unbounded" default:"bounded"`
 
@@ -69,6 +71,7 @@
 	}
 	checkPositive(&list, "--health-interval", d.HealthInterval)
 	checkNotNegative(&list, "--bootstrap-for", d.BootstrapFor)
+	checkNotNegative(&list, "--remember-for", d.RememberFor)
 	checkNotNegative(&list, "--max-stale", d.MaxStale)
 	checkNotNegative(&list, "--drain-lead", d.DrainLead)
 	checkPositive(&list, "--drain-timeout", d.DrainTimeout)
