--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -17,6 +17,7 @@
 	Status   statusCommand    `cmd:"" help:"Show what each node knows and runs."`
 	Timeline timelineCommand  `cmd:"" help:"Merge the events of all nodes in order."`
 	Runbook  runbookCommand   `cmd:"" help:"Check, plan and run a procedure of the old tool."`
+	Explain  explainCommand   `cmd:"" help:"Find the cause of a failed request in the logs of all nodes."`
 }
 
 // Main runs one command and returns the exit code.
