Refuse what waited in vain while another server still has time for it

Change: a request leaves the queue when half of its useful time is over; slots are given before overdue requests are refused. Test: admission/testdata/overdue.

--- a/internal/decision/admission/dispatch.go
+++ b/internal/decision/admission/dispatch.go
@@ -70,11 +70,11 @@
 	if s.exclusive.Ticket != 0 {
 		return s.dispatchExclusive(now)
 	}
-	out := s.refuseOverdue(now)
+	var out []Decision
 	for {
 		q, i := s.next(now)
 		if q == nil {
-			return out
+			return append(out, s.refuseOverdue(now)...)
 		}
 		r := (*q)[i]
 		*q = slices.Delete(*q, i, i+1)
@@ -170,28 +170,25 @@
 }
 
 // waitsUntil returns how long a request may wait. One whose answer could be of
-// full use may as long as that holds, any other for about as long as it was
-// expected to.
+// full use leaves when half of the time for that is over, unless a longer wait
+// was expected, so that another server still has the other half; any other
+// request waits about as long as it was expected to.
 func (s *State) waitsUntil(r Request, wait time.Duration, now time.Time) time.Time {
 	if s.limits.KeepLate || r.UsefulUntil.IsZero() {
 		return r.Deadline
 	}
 	if s.useful(r, now.Add(wait)) {
-		return r.UsefulUntil
+		return now.Add(max(2*wait, r.UsefulUntil.Sub(now)/2))
 	}
 	return now.Add(wait + s.expected(r))
 }
 
-// refuseOverdue refuses the requests that have waited for longer than they may,
-// unless a slot is free for them.
+// refuseOverdue refuses the requests that found no slot and have waited for
+// longer than they may.
 func (s *State) refuseOverdue(now time.Time) []Decision {
 	var out []Decision
 	for _, class := range []model.Class{model.ClassShort, model.ClassLong} {
 		q := s.queue(class)
-		free := s.limits.Slots - len(s.running)
-		if len(*q) <= free {
-			continue
-		}
 		kept := (*q)[:0]
 		for _, r := range *q {
 			if now.After(r.waitsUntil) {
