--- a/internal/standin/mesh/process.go
+++ b/internal/standin/mesh/process.go
@@ -32,8 +32,8 @@
 	Operator string `json:"operator"`
 }
 
-// listeningMessage is the log message that carries the addresses.
-const listeningMessage = "listening"
+// startedMessage is the log message that carries the addresses.
+const startedMessage = "node started"
 
 // process is one run of a node.
 type process struct {
@@ -54,7 +54,8 @@
 		exited:    make(chan struct{}),
 	}
 	p.command.Env = env
-	output, err := p.command.StderrPipe()
+	output, err := p.command.StdoutPipe()
+	p.command.Stderr = p.command.Stdout
 	if err != nil {
 		return nil, Addresses{}, eris.Wrap(err, "output of the node")
 	}
@@ -91,7 +92,7 @@
 	}
 	p.mu.Unlock()
 	var a Addresses
-	if json.Unmarshal([]byte(line), &a) == nil && a.Message == listeningMessage && a.Callers != "" {
+	if json.Unmarshal([]byte(line), &a) == nil && a.Message == startedMessage && a.Callers != "" {
 		select {
 		case p.listening <- a:
 		default:
