Log entries of the store that name no server, with the reason

Cause: the adapter took an entry that cannot be read for a removal and said nothing. Ruled out: failing the whole listing (the other entries hold). Change: the listing carries the faults, the source logs each one once. Test: platform, TestStoreListsAndWatches.

--- a/internal/service/source/instances.go
+++ b/internal/service/source/instances.go
@@ -65,6 +65,9 @@
 		return nil, reading.ErrStale
 	}
 	s.instancesSeen = list.Revision
+	for _, fault := range list.Unreadable {
+		s.log.Warn("entry of the list of instances names no instance", "error", fault, "listed_at", list.Revision)
+	}
 	if after > 0 && !list.Complete {
 		return list.Members, nil
 	}
