Notice the return of the store at once when removals are judged

The log shows source-regained for the instances at 15.03 s, though the store had answered since 12.2 s: the listing after the failure was held back until the next change, and the grace for lapsed entries began there, so a removal was obeyed after 2.5 s. Ruled out: a late watch (the configuration of 12.2 s came through the same one). Change: a listing after a failure is barely held back; many removals at once wait 1.2 s.

--- a/internal/decision/reading/lapse.go
+++ b/internal/decision/reading/lapse.go
@@ -14,6 +14,8 @@
 	// at least massRemovals, and one of massShare of the listed servers.
 	massRemovals = 3
 	massShare    = 4
+	// massGrace is shorter, since so many servers may also leave on purpose.
+	massGrace = 1200 * time.Millisecond
 )
 
 // Lapses holds back removals that may only mean that servers could not renew
@@ -42,7 +44,7 @@
 		}
 	}
 	if removals >= massRemovals && removals*massShare >= listed {
-		l.Regained(now)
+		l.until = later(l.until, now.Add(massGrace))
 	}
 	out := make([]model.Member, 0, len(received))
 	for _, m := range received {
@@ -59,6 +61,13 @@
 	return out
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Due returns the removals whose grace is over.
 func (l *Lapses) Due(now time.Time) []model.Member {
 	if now.Before(l.until) {
--- a/internal/service/source/instances.go
+++ b/internal/service/source/instances.go
@@ -10,6 +10,10 @@
 	"github.com/galenalever/galenalever/internal/model"
 )
 
+// retryWait is how long a listing after a failure is held back: an answer at once
+// shows when the platform has returned, from which lapsed entries are judged.
+const retryWait = time.Millisecond
+
 // watchInstances posts what changes in the list of instances until the context
 // ends. The first listing of an order is not held back.
 func (s *Service) watchInstances(ctx context.Context, retry *retrier, current order) {
@@ -18,6 +22,7 @@
 		received, err := s.listInstances(ctx, s.lapses.Wait(wait, s.clock.Now()))
 		if err != nil {
 			retry.failed(ctx, err)
+			wait = retryWait
 			continue
 		}
 		now := s.clock.Now()
