Send a request on at once from a busy gate; report the wait for a slot

A caller's node knew the number of requests at a gate, but not the wait, and had no way to ask for a slot now. Change: a request names its patience, the wait beyond which another server is believed to be better; a gate that is busier refuses it at once (reason busy). Gates report the wait of a request like the one they answer; waiting no longer counts as the server's latency.

--- a/internal/decision/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -46,6 +46,9 @@
 	// UsefulUntil is the time until which an answer is of full use; zero means
 	// until the deadline.
 	UsefulUntil time.Time
+	// Patience is the longest wait for a slot after which another server would
+	// be the better choice; zero means that there is none.
+	Patience time.Duration
 	// waitsUntil is when a request that still waits is refused, so that it can be
 	// sent elsewhere.
 	waitsUntil time.Time
@@ -120,6 +123,14 @@
 	return Load{Running: len(s.running), Queued: queued, Slots: s.limits.Slots}
 }
 
+// Wait estimates how long a request like r would wait for a slot if it came now.
+func (s *State) Wait(r Request, now time.Time) time.Duration {
+	if s.free(r.Class) {
+		return 0
+	}
+	return s.predictedWait(r, now)
+}
+
 // Arrive decides on a new request.
 func (s *State) Arrive(r Request, now time.Time) Decision {
 	switch {
@@ -134,6 +145,9 @@
 		return Decision{Ticket: r.Ticket, Verdict: Run}
 	}
 	wait := s.predictedWait(r, now)
+	if r.Patience > 0 && wait > r.Patience {
+		return refuse(r.Ticket, model.ReasonBusy, wait)
+	}
 	if s.queueFull(r.Class) {
 		return refuse(r.Ticket, model.ReasonQueueFull, wait)
 	}
--- a/internal/decision/balance/choose.go
+++ b/internal/decision/balance/choose.go
@@ -43,6 +43,38 @@
 	return better(pool, pickTwo(pool, &local, now, random), pickTwo(pool, &remote, now, random), locality, now)
 }
 
+// leastPatience is the shortest wait for a slot that a request takes before it
+// asks another server, which costs a hop.
+const leastPatience = 5 * time.Millisecond
+
+// Patience returns how long a request may wait for a slot at the chosen server
+// before another one is believed to be the better choice; 0 means that there is
+// no other.
+func Patience(pool Pool, chosen int, locality, now time.Duration) time.Duration {
+	own := pool.At(chosen)
+	best := time.Duration(0)
+	for i := range min(pool.Len(), SubsetSize) {
+		s := pool.At(i)
+		if i == chosen || s.Excluded || s.Health.Ejected(now) {
+			continue
+		}
+		cost := s.cost(now)
+		switch {
+		case own.Local && !s.Local:
+			cost += locality
+		case s.Local && !own.Local:
+			cost -= locality
+		}
+		if best == 0 || cost < best {
+			best = cost
+		}
+	}
+	if best == 0 {
+		return 0
+	}
+	return max(best-(own.cost(now)-own.wait(now)), leastPatience)
+}
+
 // candidates is a bounded set of positions in a pool.
 type candidates struct {
 	positions [SubsetSize]int
--- a/internal/decision/balance/statistics.go
+++ b/internal/decision/balance/statistics.go
@@ -15,6 +15,9 @@
 type Load struct {
 	// InFlight counts the requests that hold a slot, Queued those that wait.
 	InFlight, Queued int
+	// Wait is how long a request like the reported one would have waited for a
+	// slot.
+	Wait time.Duration
 }
 
 // Statistics is what a caller's node knows about one server.
@@ -92,7 +95,12 @@
 func (s Statistics) cost(now time.Duration) time.Duration {
 	latency := max(decayed(s.Latency, now-s.LatencyAt), s.Silence, latencyFloor)
 	latency <<= min(s.Health.Failures, maxDoublings)
-	return time.Duration(float64(latency) * (1 + s.waiting(now)/float64(max(s.Slots, 1))))
+	return s.wait(now) + time.Duration(float64(latency)*(1+s.waiting(now)/float64(max(s.Slots, 1))))
+}
+
+// wait estimates the time until a slot is free.
+func (s Statistics) wait(now time.Duration) time.Duration {
+	return time.Duration(float64(s.Load.Wait) * decay(now-s.LoadAt, loadHalfLife))
 }
 
 // waiting estimates the requests at the server, those of others included.
--- a/internal/decision/retry/retry.go
+++ b/internal/decision/retry/retry.go
@@ -25,6 +25,9 @@
 	// Attempts counts the attempts so far, Questions those of them that asked
 	// the same gate again.
 	Attempts, Questions int
+	// Busy counts the attempts that a gate refused since no slot was free soon
+	// enough.
+	Busy int
 	// Reached counts the attempts that reached a server, run or not.
 	Reached int
 	// TimeLeft is the time until the deadline.
@@ -81,7 +84,7 @@
 }
 
 // Decision is an action and the delay before it. SendElsewhere and SendAgain
-// need a token of the retry budget.
+// need a token of the retry budget, except after a busy gate.
 type Decision struct {
 	Action Action
 	Delay  time.Duration
@@ -116,6 +119,10 @@
 		return question(p, r, random)
 	case !p.Replayable || exhausted(q, p, r) || !mayMove(r):
 		return Decision{Action: Finish}
+	case r.Reason == model.ReasonBusy && p.Alone:
+		return Decision{Action: SendAgain}
+	case r.Reason == model.ReasonBusy:
+		return Decision{Action: SendElsewhere}
 	case p.Alone:
 		return Decision{Action: SendAgain, Delay: max(r.RetryAfter, backoff(p.Attempts+1, random))}
 	default:
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -27,11 +27,14 @@
 	HeaderAttempt     = "Galena-Attempt"
 	HeaderTimeout     = "Galena-Timeout-Us"
 	HeaderUseful      = "Galena-Useful-Us"
+	HeaderPatience    = "Galena-Patience-Us"
 	HeaderIncarnation = "Galena-Incarnation"
 	HeaderTime        = "Galena-Time"
 	HeaderOutcome     = "Galena-Outcome"
 	HeaderReason      = "Galena-Reason"
 	HeaderRetryAfter  = "Galena-Retry-After-Us"
+	HeaderWaited      = "Galena-Waited-Us"
+	HeaderWait        = "Galena-Wait-Us"
 	HeaderInFlight    = "Galena-In-Flight"
 	HeaderQueued      = "Galena-Queued"
 	HeaderSlots       = "Galena-Slots"
@@ -59,6 +62,9 @@
 	Timeout time.Duration
 	// Useful is the time left in which an answer is of full use.
 	Useful time.Duration
+	// Patience is the longest wait for a slot after which the caller's node
+	// would choose another server; 0 means that it has none.
+	Patience time.Duration
 	// Incarnation is the gate's process that the caller's node means; 0 means
 	// any. A gate refuses a request that means another process.
 	Incarnation model.Incarnation
@@ -78,6 +84,9 @@
 	h.Set(HeaderAttempt, strconv.Itoa(r.Attempt))
 	h.Set(HeaderTimeout, strconv.FormatInt(r.Timeout.Microseconds(), 10))
 	h.Set(HeaderUseful, strconv.FormatInt(r.Useful.Microseconds(), 10))
+	if r.Patience > 0 {
+		h.Set(HeaderPatience, strconv.FormatInt(r.Patience.Microseconds(), 10))
+	}
 	h.Set(HeaderIncarnation, strconv.FormatUint(uint64(r.Incarnation), 10))
 	h.Set(HeaderTime, strconv.FormatUint(uint64(r.Time), 10))
 }
@@ -100,6 +109,7 @@
 	if r.Useful, ok[1] = microseconds(h, HeaderUseful); !ok[1] {
 		r.Useful, _ = microseconds(h, HeaderTimeout) // until the deadline, which is checked below
 	}
+	r.Patience, _ = microseconds(h, HeaderPatience) // absent without another server
 	attempt, ok[0] = number(h, HeaderAttempt)
 	r.Timeout, ok[1] = microseconds(h, HeaderTimeout)
 	incarnation, ok[2] = number(h, HeaderIncarnation)
@@ -121,6 +131,8 @@
 	Reason model.Reason
 	// RetryAfter is the delay before a retry makes sense; 0 means none known.
 	RetryAfter time.Duration
+	// Waited is how long the request waited for a slot.
+	Waited time.Duration
 	// Load is the gate's load as it answered.
 	Load        Load
 	Incarnation model.Incarnation
@@ -133,6 +145,8 @@
 	InFlight, Queued int
 	// Slots is the number of slots.
 	Slots int
+	// Wait is how long a request like this one would wait for a slot now.
+	Wait time.Duration
 }
 
 // Encode sets the headers of an answer.
@@ -145,6 +159,12 @@
 	if r.RetryAfter > 0 {
 		h.Set(HeaderRetryAfter, strconv.FormatInt(r.RetryAfter.Microseconds(), 10))
 	}
+	if r.Waited > 0 {
+		h.Set(HeaderWaited, strconv.FormatInt(r.Waited.Microseconds(), 10))
+	}
+	if r.Load.Wait > 0 {
+		h.Set(HeaderWait, strconv.FormatInt(r.Load.Wait.Microseconds(), 10))
+	}
 	h.Set(HeaderInFlight, strconv.Itoa(r.Load.InFlight))
 	h.Set(HeaderQueued, strconv.Itoa(r.Load.Queued))
 	h.Set(HeaderSlots, strconv.Itoa(r.Load.Slots))
@@ -156,6 +176,8 @@
 // did not come from a gate.
 func DecodeResponse(h http.Header) (Response, bool) {
 	retryAfter, _ := microseconds(h, HeaderRetryAfter)
+	waited, _ := microseconds(h, HeaderWaited)
+	wait, _ := microseconds(h, HeaderWait)
 	inFlight, _ := number(h, HeaderInFlight)
 	queued, _ := number(h, HeaderQueued)
 	slots, _ := number(h, HeaderSlots)
@@ -166,7 +188,8 @@
 		Outcome:     model.ParseOutcome(h.Get(HeaderOutcome)),
 		Reason:      model.Reason(h.Get(HeaderReason)),
 		RetryAfter:  retryAfter,
-		Load:        Load{InFlight: int(inFlight), Queued: int(queued), Slots: int(slots)},
+		Waited:      waited,
+		Load:        Load{InFlight: int(inFlight), Queued: int(queued), Slots: int(slots), Wait: wait},
 		Incarnation: model.Incarnation(incarnation),
 		Time:        timeline.Timestamp(now),
 	}
--- a/internal/model/outcome.go
+++ b/internal/model/outcome.go
@@ -49,6 +49,7 @@
 	ReasonLeaving          Reason = "leaving"           // the server is draining
 	ReasonBackendDown      Reason = "backend-down"      // the server refuses connections or fails its health check
 	ReasonQueueFull        Reason = "queue-full"        // the gate's queue has no room
+	ReasonBusy             Reason = "busy"              // no slot is free for as long as the caller's node would wait
 	ReasonServerRefused    Reason = "server-refused"    // the server itself said that it did not run the request
 	ReasonBrokenAnswer     Reason = "broken-answer"     // the server's answer is not whole or belongs to another request
 	ReasonLate             Reason = "late"              // the deadline passed or would pass in the queue
--- a/internal/service/balancer/balancer.go
+++ b/internal/service/balancer/balancer.go
@@ -79,20 +79,23 @@
 
 // Pick chooses a server of the destination that is not among tried and counts
 // the attempt as outstanding. It returns nil if there is none. Every pick must
-// be followed by one Done. The objective is that of the request, or 0.
+// be followed by one Done. The objective is that of the request, or 0. The
+// duration is balance.Patience for the choice.
 func (s *Service) Pick(
 	d *route.Destination, class model.Class, objective time.Duration, tried []*route.Endpoint,
-) *route.Endpoint {
+) (*route.Endpoint, time.Duration) {
 	p := s.pool(d)
 	now := s.now()
 	view := poolView{pool: p, class: classIndex(class), tried: tried, now: now}
-	chosen := balance.ChooseBy(s.config.Policy, &view, balance.LocalityOf(objective), now, s.config.Random)
+	locality := balance.LocalityOf(objective)
+	chosen := balance.ChooseBy(s.config.Policy, &view, locality, now, s.config.Random)
 	if chosen == balance.None {
-		return nil
+		return nil, 0
 	}
+	patience := balance.Patience(&view, chosen, locality, now)
 	picked := p.servers[chosen]
 	picked.classes[view.class].begin(now)
-	return picked.endpoint
+	return picked.endpoint, patience
 }
 
 // PickOwner chooses the server that keeps the memory of an idempotency key, as
--- a/internal/service/balancer/bench_test.go
+++ b/internal/service/balancer/bench_test.go
@@ -31,6 +31,7 @@
 	report := balance.Report{Outcome: model.OutcomeAnswered, Reported: true, Latency: time.Millisecond}
 	b.ReportAllocs()
 	for b.Loop() {
-		p.balancer.Done(p.balancer.Pick(destination, model.ClassShort, 0, nil), model.ClassShort, report)
+		picked, _ := p.balancer.Pick(destination, model.ClassShort, 0, nil)
+		p.balancer.Done(picked, model.ClassShort, report)
 	}
 }
--- a/internal/service/balancer/policy_test.go
+++ b/internal/service/balancer/policy_test.go
@@ -172,7 +172,7 @@
 	destination := p.table.Destination(p.service.Name)
 	for range requests {
 		p.deliver()
-		if endpoint := p.balancer.Pick(destination, model.ClassShort, 0, nil); endpoint != nil {
+		if endpoint, _ := p.balancer.Pick(destination, model.ClassShort, 0, nil); endpoint != nil {
 			p.begin(endpoint)
 		} else {
 			refused++
--- a/internal/service/balancer/pool_test.go
+++ b/internal/service/balancer/pool_test.go
@@ -24,7 +24,8 @@
 }
 
 func (p *policy) pick(t *route.Table) *route.Endpoint {
-	return p.balancer.Pick(t.Destination(p.service.Name), model.ClassShort, 0, nil)
+	picked, _ := p.balancer.Pick(t.Destination(p.service.Name), model.ClassShort, 0, nil)
+	return picked
 }
 
 // TestStatisticsFollowTheTable checks that statistics survive a change of other
--- a/internal/service/balancer/server.go
+++ b/internal/service/balancer/server.go
@@ -33,7 +33,7 @@
 	endpoint  *route.Endpoint
 	local     bool
 	warmSince atomic.Int64
-	load      atomic.Uint64 // requests in flight in the upper half, queued in the lower
+	load      atomic.Pointer[balance.Load] // nil before the first report
 	loadAt    atomic.Int64
 	health    atomic.Pointer[balance.Health] // nil means healthy
 	classes   [classCount]classStatistics
@@ -99,7 +99,7 @@
 		Queue:       v.pool.service.Queue,
 		Outstanding: int(class.outstanding.Load()),
 		Silence:     class.silence(v.now),
-		Load:        unpackLoad(s.load.Load()),
+		Load:        s.currentLoad(),
 		LoadAt:      time.Duration(s.loadAt.Load()),
 		Latency:     time.Duration(class.latency.Load()),
 		LatencyAt:   time.Duration(class.latencyAt.Load()),
@@ -109,6 +109,13 @@
 	}
 }
 
+func (s *server) currentLoad() balance.Load {
+	if l := s.load.Load(); l != nil {
+		return *l
+	}
+	return balance.Load{}
+}
+
 func (s *server) currentHealth() balance.Health {
 	if h := s.health.Load(); h != nil {
 		return *h
@@ -126,7 +133,7 @@
 		statistics.answeredAt.Store(int64(now))
 	}
 	if r.Reported && s.takesReport(owner.config.Policy, now) {
-		s.load.Store(packLoad(r.Load))
+		s.load.Store(&r.Load)
 		s.loadAt.Store(int64(now))
 	}
 	statistics.observe(r, now)
@@ -190,16 +197,6 @@
 	}
 }
 
-const halfBits = 32
-
-func packLoad(l balance.Load) uint64 {
-	return uint64(uint32(l.InFlight))<<halfBits | uint64(uint32(l.Queued))
-}
-
-func unpackLoad(packed uint64) balance.Load {
-	return balance.Load{InFlight: int(packed >> halfBits), Queued: int(uint32(packed))}
-}
-
 // ServerStatus is what a status page shows of one server.
 type ServerStatus struct {
 	Instance    model.InstanceID `json:"instance"`
@@ -216,7 +213,7 @@
 	return ServerStatus{
 		Instance:    s.endpoint.ID.Instance,
 		Outstanding: int(short.outstanding.Load() + long.outstanding.Load()),
-		Load:        unpackLoad(s.load.Load()),
+		Load:        s.currentLoad(),
 		Latency:     time.Duration(short.latency.Load()),
 		Failures:    h.Failures,
 		Ejected:     h.Ejected(now),
--- a/internal/service/forward/attempt.go
+++ b/internal/service/forward/attempt.go
@@ -19,6 +19,8 @@
 	endpoint *route.Endpoint
 	// number counts from 1.
 	number int
+	// patience is hop.Request.Patience.
+	patience time.Duration
 }
 
 // result is how an attempt ended.
@@ -100,6 +102,7 @@
 		Class: q.Route.Class, Priority: q.Route.Priority, Idempotent: q.Route.Idempotent, Attempt: a.number,
 		Timeout:     q.Deadline.Sub(now),
 		Useful:      max(q.UsefulUntil.Sub(now), 0),
+		Patience:    a.patience,
 		Incarnation: a.endpoint.ID.Incarnation,
 	}
 	if s.config.Time != nil {
@@ -137,10 +140,10 @@
 	r := retry.Result{Outcome: head.Outcome, Reason: head.Reason, RetryAfter: head.RetryAfter}
 	report := balance.Report{
 		Outcome: head.Outcome, Reason: head.Reason, Reported: true,
-		Load: balance.Load{InFlight: head.Load.InFlight, Queued: head.Load.Queued},
+		Load: balance.Load{InFlight: head.Load.InFlight, Queued: head.Load.Queued, Wait: head.Load.Wait},
 	}
 	if response.StatusCode < http.StatusInternalServerError {
-		report.Latency = elapsed // a quick error says nothing of the speed
+		report.Latency = max(elapsed-head.Waited, 0) // a quick error says nothing of the speed
 	}
 	return result{Result: r, report: report}
 }
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -78,7 +78,9 @@
 func (c *race) start(ctx context.Context, e *route.Endpoint) {
 	s := c.series.service
 	c.series.progress.Attempts++
-	a := attempt{request: c.series.request, endpoint: e, number: c.series.progress.Attempts}
+	a := attempt{
+		request: c.series.request, endpoint: e, number: c.series.progress.Attempts, patience: c.series.patience,
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	entry := &racer{cancel: cancel}
 	c.running = append(c.running, entry)
--- a/internal/service/forward/series.go
+++ b/internal/service/forward/series.go
@@ -23,6 +23,9 @@
 	// current is the last of them.
 	tried   []*route.Endpoint
 	current *route.Endpoint
+	// patience is the longest wait at the current server after which another
+	// would be better; 0 means that there is none.
+	patience time.Duration
 	// overBudget is true if a budget did not allow a retry.
 	overBudget bool
 }
@@ -85,14 +88,22 @@
 	return r.attempt(ctx, endpoint), true
 }
 
+// maxBusy is the number of busy servers after which a request takes the wait of
+// the next one.
+const maxBusy = 2
+
 // pick chooses the server of the next attempt.
 func (r *series) pick() *route.Endpoint {
 	q := r.request
 	var endpoint *route.Endpoint
 	if q.Keyed() {
 		endpoint = r.service.chooser.PickOwner(q.Destination, q.Route.Class, q.IdempotencyKey, r.tried)
+		r.patience = 0
 	} else {
-		endpoint = r.service.chooser.Pick(q.Destination, q.Route.Class, q.Route.Objective, r.tried)
+		endpoint, r.patience = r.service.chooser.Pick(q.Destination, q.Route.Class, q.Route.Objective, r.tried)
+	}
+	if r.progress.Busy >= maxBusy {
+		r.patience = 0
 	}
 	if endpoint != nil {
 		r.tried = append(r.tried, endpoint)
@@ -105,7 +116,9 @@
 // follows when the attempt, with the body of its answer, has ended.
 func (r *series) attempt(ctx context.Context, e *route.Endpoint) result {
 	r.progress.Attempts++
-	return r.service.sendPicked(ctx, attempt{request: r.request, endpoint: e, number: r.progress.Attempts})
+	return r.service.sendPicked(ctx, attempt{
+		request: r.request, endpoint: e, number: r.progress.Attempts, patience: r.patience,
+	})
 }
 
 // sendPicked makes an attempt at a picked endpoint and reports its end.
@@ -129,9 +142,12 @@
 	if last.ReachedServer() {
 		r.progress.Reached++
 	}
+	if last.Reason == model.ReasonBusy {
+		r.progress.Busy++
+	}
 	decision := retry.Decide(r.rules, r.progress, last.Result, r.service.config.Random)
-	spends := decision.Action == retry.SendElsewhere || decision.Action == retry.SendAgain
-	if spends && !r.withdraw() {
+	moves := decision.Action == retry.SendElsewhere || decision.Action == retry.SendAgain
+	if moves && last.Reason != model.ReasonBusy && !r.withdraw() {
 		r.overBudget = true
 		return retry.Decision{Action: retry.Finish}
 	}
--- a/internal/service/gate/answer.go
+++ b/internal/service/gate/answer.go
@@ -70,7 +70,8 @@
 // stamp sets the headers that tell the caller's node about the answer and this
 // gate. A gate that is leaving also closes its connections.
 func (s *Service) stamp(c *call, r hop.Response) {
-	r.ID, r.Incarnation, r.Load = c.ID, s.self.Incarnation, s.load()
+	r.ID, r.Incarnation = c.ID, s.self.Incarnation
+	r.Load, r.Waited = s.loadFor(c), c.waited()
 	s.counters.observe(r.Load)
 	if s.timestamps != nil {
 		r.Time = s.timestamps.Now()
@@ -81,9 +82,22 @@
 	}
 }
 
+// loadFor returns the occupancy with the wait of a request like c.
+func (s *Service) loadFor(c *call) hop.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.loadLocked()
+	l.Wait = s.admission.Wait(c.slotRequest(), s.clock.Now())
+	return l
+}
+
 func (s *Service) load() hop.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.loadLocked()
+}
+
+func (s *Service) loadLocked() hop.Load {
 	l := s.admission.Load()
 	return hop.Load{InFlight: l.Running, Queued: l.Queued, Slots: l.Slots}
 }
--- a/internal/service/gate/call.go
+++ b/internal/service/gate/call.go
@@ -83,6 +83,23 @@
 	return clock.WithTimeout(parent, clk, c.deadline.Sub(clk.Now()))
 }
 
+// slotRequest returns what the admission needs to know of the call.
+func (c *call) slotRequest() admission.Request {
+	return admission.Request{
+		Ticket: c.ticket, Class: c.Class, Kind: c.Route, Priority: c.Priority, Patience: c.Patience,
+		Deadline: c.deadline, UsefulUntil: c.arrived.Add(c.Useful), Exclusive: c.exclusive(),
+	}
+}
+
+// waited returns how long the call waited before it went to the server, 0 if it
+// did not.
+func (c *call) waited() time.Duration {
+	if c.started.IsZero() {
+		return 0
+	}
+	return c.started.Sub(c.arrived)
+}
+
 // exclusive reports whether the request is a suspect that runs alone.
 func (c *call) exclusive() bool { return c.suspicion.Verdict == quarantine.RunAlone }
 
--- a/internal/service/gate/slots.go
+++ b/internal/service/gate/slots.go
@@ -50,11 +50,7 @@
 
 // arrive asks for a slot. The critical section must be held.
 func (s *Service) arrive(c *call) admission.Decision {
-	request := admission.Request{
-		Ticket: c.ticket, Class: c.Class, Kind: c.Route, Priority: c.Priority,
-		Deadline: c.deadline, UsefulUntil: c.arrived.Add(c.Useful), Exclusive: c.exclusive(),
-	}
-	d := s.admission.Arrive(request, s.clock.Now())
+	d := s.admission.Arrive(c.slotRequest(), s.clock.Now())
 	if d.Verdict == admission.Refuse {
 		return d
 	}
--- a/internal/service/ingress/fakes_test.go
+++ b/internal/service/ingress/fakes_test.go
@@ -97,8 +97,9 @@
 	return &observedBalancer{Service: s, reports: make(chan struct{}, enough)}
 }
 
-func (b *observedBalancer) Pick(d *route.Destination, class model.Class, objective time.Duration, tried []*route.Endpoint) *route.Endpoint {
-	return b.picked(b.Service.Pick(d, class, objective, tried))
+func (b *observedBalancer) Pick(d *route.Destination, class model.Class, objective time.Duration, tried []*route.Endpoint) (*route.Endpoint, time.Duration) {
+	picked, patience := b.Service.Pick(d, class, objective, tried)
+	return b.picked(picked), patience
 }
 
 func (b *observedBalancer) PickOwner(
