Rank calls of running work first; give uploads their objective

Cause: a route whose callers wait as long as the route allows was taken for one whose callers cannot come again. That holds for the calls of running work (400 ms), but uploads wait 3 to 5 s, so they were queued without regard to their objective. Change: decision/urgency; a caller has a last chance only if it cannot come again after the shortest delay. Such requests go first among their priority and have the last retry tokens of the mesh. Also: the log tells the delay that the caller was told.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -36,6 +36,8 @@
 	// Deadline is the end of the time for the whole answer, UsefulUntil of the
 	// time in which it is of full use.
 	Deadline, UsefulUntil time.Time
+	// LastChance is true if a caller that is refused has no time to come again.
+	LastChance bool
 }
 
 // Keyed reports whether the request goes to the server that owns its key, if it
--- a/internal/decision/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -46,6 +46,9 @@
 	// UsefulUntil is the time until which an answer is of full use; zero means
 	// until the deadline.
 	UsefulUntil time.Time
+	// LastChance ranks a request before others of its priority, since its caller
+	// has no time to come again and its work would be lost.
+	LastChance bool
 	// Patience is the longest wait for a slot after which another server would
 	// be the better choice; zero means that there is none.
 	Patience time.Duration
--- a/internal/decision/admission/admission_test.go
+++ b/internal/decision/admission/admission_test.go
@@ -35,7 +35,8 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var ticket, slots, long, queue, at int
 			class := "short"
-			deadline, useful, priority := 1000, 0, 0
+			deadline, useful, priority, patience := 1000, 0, 0, 0
+			d.MaybeScanArgs(t, "patience", &patience)
 			kind := ""
 			d.MaybeScanArgs(t, "useful", &useful)
 			d.MaybeScanArgs(t, "priority", &priority)
@@ -60,7 +61,8 @@
 				r := admission.Request{
 					Ticket: admission.Ticket(ticket), Class: model.Class(class),
 					Deadline: start.Add(time.Duration(deadline) * time.Millisecond), Exclusive: d.HasArg("exclusive"),
-					Priority: priority, Kind: kind,
+					Priority: priority, Kind: kind, LastChance: d.HasArg("last-chance"),
+					Patience: time.Duration(patience) * time.Millisecond,
 				}
 				if useful > 0 {
 					r.UsefulUntil = start.Add(time.Duration(useful) * time.Millisecond)
--- a/internal/decision/admission/queue.go
+++ b/internal/decision/admission/queue.go
@@ -45,13 +45,20 @@
 	return n
 }
 
-// compare orders requests by priority; then those that can still be answered
+// compare orders requests by priority; then those whose callers cannot come
+// again go before the others; then those that can still be answered
 // while that is of full use go before the others; then the one that is due
 // earlier.
 func (s *State) compare(a, b Request, now time.Time) int {
 	if a.Priority != b.Priority {
 		return cmp.Compare(a.Priority, b.Priority)
 	}
+	if a.LastChance != b.LastChance {
+		if a.LastChance {
+			return -1
+		}
+		return 1
+	}
 	aUseful, bUseful := s.useful(a, now), s.useful(b, now)
 	switch {
 	case aUseful && !bUseful:
--- a/internal/decision/retry/mesh.go
+++ b/internal/decision/retry/mesh.go
@@ -48,12 +48,21 @@
 	s.tokens = min(s.tokens+s.limits.Ratio*ratioPart, s.capacity(nodes))
 }
 
+// keptPart is the part of a full share that is kept for requests whose callers
+// cannot come again; others, once refused, come as new requests.
+const keptPart = 0.5
+
 // Withdraw takes a token for one more arrival and reports whether there was one.
-func (s *Share) Withdraw(now time.Duration, nodes int) bool {
+// The last tokens are for requests whose callers cannot come again.
+func (s *Share) Withdraw(now time.Duration, nodes int, lastChance bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refill(now, nodes)
-	if s.tokens < 1 {
+	least := 1.0
+	if !lastChance {
+		least = max(least, s.capacity(nodes)*keptPart)
+	}
+	if s.tokens < least {
 		return false
 	}
 	s.tokens--
--- a/internal/decision/retry/mesh_test.go
+++ b/internal/decision/retry/mesh_test.go
@@ -29,7 +29,7 @@
 				share := shares[rapid.IntRange(0, nodes-1).Draw(t, "node")]
 				share.Deposit(now, nodes)
 				sent++
-				if share.Withdraw(now, nodes) {
+				if share.Withdraw(now, nodes, rapid.Bool().Draw(t, "last chance")) {
 					again++
 				}
 			}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -35,6 +35,7 @@
 	fieldPriority    = "p"
 	fieldIdempotent  = "d"
 	fieldAttempt     = "a"
+	fieldLastChance  = "x"
 	fieldTimeout     = "l"
 	fieldUseful      = "u"
 	fieldPatience    = "w"
@@ -76,6 +77,8 @@
 	Timeout time.Duration
 	// Useful is the time left in which an answer is of full use.
 	Useful time.Duration
+	// LastChance is true if a caller that is refused has no time to come again.
+	LastChance bool
 	// Patience is the longest wait for a slot after which the caller's node
 	// would choose another server; 0 means that it has none.
 	Patience time.Duration
@@ -101,6 +104,9 @@
 	f.number(fieldAttempt, uint64(max(r.Attempt, 0)))
 	f.duration(fieldTimeout, r.Timeout)
 	f.duration(fieldUseful, r.Useful)
+	if r.LastChance {
+		f.number(fieldLastChance, 1)
+	}
 	f.duration(fieldPatience, r.Patience)
 	f.number(fieldIncarnation, uint64(r.Incarnation))
 	f.number(fieldTime, uint64(r.Time))
@@ -123,6 +129,7 @@
 		Attempt:     int(f.number(fieldAttempt)),
 		Timeout:     f.duration(fieldTimeout),
 		Useful:      f.duration(fieldUseful),
+		LastChance:  f.number(fieldLastChance) == 1,
 		Patience:    f.duration(fieldPatience),
 		Incarnation: model.Incarnation(f.number(fieldIncarnation)),
 		Time:        timeline.Timestamp(f.number(fieldTime)),
--- a/internal/service/forward/attempt.go
+++ b/internal/service/forward/attempt.go
@@ -102,6 +102,7 @@
 		Class: q.Route.Class, Priority: q.Route.Priority, Idempotent: q.Route.Idempotent, Attempt: a.number,
 		Timeout:     q.Deadline.Sub(now),
 		Useful:      max(q.UsefulUntil.Sub(now), 0),
+		LastChance:  q.LastChance,
 		Patience:    a.patience,
 		Incarnation: a.endpoint.ID.Incarnation,
 	}
--- a/internal/service/forward/series.go
+++ b/internal/service/forward/series.go
@@ -163,7 +163,7 @@
 	if r.share == nil || r.progress.Reached == 0 {
 		return true
 	}
-	return r.share.Withdraw(r.service.clock.Now().Sub(r.service.start), r.service.mesh.Present())
+	return r.share.Withdraw(r.service.clock.Now().Sub(r.service.start), r.service.mesh.Present(), r.request.LastChance)
 }
 
 // wait lets d pass and reports false if the context ended first.
--- a/internal/service/gate/call.go
+++ b/internal/service/gate/call.go
@@ -86,7 +86,7 @@
 // slotRequest returns what the admission needs to know of the call.
 func (c *call) slotRequest() admission.Request {
 	return admission.Request{
-		Ticket: c.ticket, Class: c.Class, Kind: c.Route, Priority: c.Priority, Patience: c.Patience,
+		Ticket: c.ticket, Class: c.Class, Kind: c.Route, Priority: c.Priority, LastChance: c.LastChance, Patience: c.Patience,
 		Deadline: c.deadline, UsefulUntil: c.arrived.Add(c.Useful), Exclusive: c.exclusive(),
 	}
 }
--- a/internal/service/ingress/deadline.go
+++ b/internal/service/ingress/deadline.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenalever/galenalever/internal/decision/urgency"
 	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -23,26 +24,16 @@
 	return now.Add(timeout)
 }
 
-// usefulUntil returns the time until which an answer is of full use to the
-// caller. A caller that comes again waits less long than it did at first, so the
-// longest wait that was seen on the route tells how old its request is.
-func (s *Service) usefulUntil(caller frontend.CallerRequest, rt *model.Route, now, deadline time.Time) time.Time {
-	if rt.Objective <= 0 {
-		return deadline
+// urgency returns how urgent a request is that came at a time and must be
+// answered by the deadline.
+func (s *Service) urgency(caller frontend.CallerRequest, rt *model.Route, now, deadline time.Time) urgency.Urgency {
+	longest := caller.Timeout
+	if rt.Objective > 0 && caller.Timeout > 0 {
+		longest = s.longestWait(rt, caller.Timeout)
 	}
-	age := time.Duration(0)
-	if caller.Timeout > 0 {
-		longest := s.longestWait(rt, caller.Timeout)
-		if longest <= rt.Deadline {
-			return deadline // callers have no time to come again, so late answers serve them too
-		}
-		age = max(longest-caller.Timeout, 0)
-	}
-	useful := now.Add(rt.Objective - age)
-	if useful.After(deadline) {
-		return deadline
-	}
-	return useful
+	return urgency.Of(urgency.Caller{
+		Objective: rt.Objective, Waits: caller.Timeout, Longest: longest, ComesAgain: minRetryAfter,
+	}, deadline.Sub(now))
 }
 
 // longestWait returns the longest time that callers of a route have said to
--- a/internal/service/ingress/refusal.go
+++ b/internal/service/ingress/refusal.go
@@ -80,9 +80,6 @@
 
 // refuse answers a request that has no answer of a server.
 func (s *Service) refuse(w http.ResponseWriter, entry requestLog, r refusal) {
-	entry.retryAfter = r.retryAfter
-	s.finish(entry, r.status, r.outcome, r.reason)
-	h := w.Header()
 	told := frontend.Refusal{Status: r.status, Outcome: r.outcome, Reason: r.reason}
 	if r.status == http.StatusServiceUnavailable {
 		told.RetryAfter = max(r.retryAfter, minRetryAfter)
@@ -90,6 +87,9 @@
 			told.RetryAfter = defaultRetryAfter
 		}
 	}
+	entry.retryAfter = told.RetryAfter
+	s.finish(entry, r.status, r.outcome, r.reason)
+	h := w.Header()
 	s.config.Headers.Refuse(h, told)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Cache-Control", "no-store")
--- a/internal/service/ingress/serve.go
+++ b/internal/service/ingress/serve.go
@@ -46,7 +46,8 @@
 		return
 	}
 	request := newRequest(r, id, match, body, deadline)
-	request.UsefulUntil = s.usefulUntil(caller, match.Route, begin, deadline)
+	urgency := s.urgency(caller, match.Route, begin, deadline)
+	request.UsefulUntil, request.LastChance = begin.Add(urgency.Useful), urgency.LastChance
 	answer := s.forwarder.Forward(ctx, request)
 	s.metrics.countAttempts(match.Route, answer.Attempts)
 	entry.attempts = answer.Attempts
