Give back what waited in vain; correct predicted waits by what they were

Change: after a late refusal a request goes on only to a gate that has not had it, and only while an answer can still be of full use; the admission compares waits with what was predicted, by priority.

--- a/internal/decision/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -55,6 +55,10 @@
 	// waitsUntil is when a request that still waits is refused, so that it can be
 	// sent elsewhere.
 	waitsUntil time.Time
+	// queuedAt is when the request was queued; predicted is the wait that the
+	// queue ahead of it told.
+	queuedAt  time.Time
+	predicted time.Duration
 	// Exclusive requests run only while no other request holds a slot.
 	Exclusive bool
 }
@@ -105,6 +109,7 @@
 	shortTime  average
 	longTime   average
 	kinds      map[string]*average
+	stretches  [rankedPriorities]stretch
 }
 
 // New returns an empty state.
@@ -158,6 +163,7 @@
 		return refuse(r.Ticket, model.ReasonLate, wait)
 	}
 	r.waitsUntil = s.waitsUntil(r, wait, now)
+	r.queuedAt, r.predicted = now, s.queueAhead(r, now)
 	q := s.queue(r.Class)
 	*q = append(*q, r)
 	return Decision{Ticket: r.Ticket, Verdict: Wait}
--- a/internal/decision/admission/dispatch.go
+++ b/internal/decision/admission/dispatch.go
@@ -78,6 +78,7 @@
 		}
 		r := (*q)[i]
 		*q = slices.Delete(*q, i, i+1)
+		s.noteWait(r, now)
 		if now.Add(s.expected(r)).After(r.Deadline) || !r.Deadline.After(now) {
 			out = append(out, refuse(r.Ticket, model.ReasonLate, 0))
 			continue
@@ -142,9 +143,14 @@
 	return &s.shortTime
 }
 
-// predictedWait estimates how long a request waits for a slot, from the queued
-// requests of its class that go before it and recent service times.
+// predictedWait estimates how long a request waits for a slot.
 func (s *State) predictedWait(r Request, now time.Time) time.Duration {
+	return time.Duration(float64(s.queueAhead(r, now)) * s.stretch(r).factor(now))
+}
+
+// queueAhead estimates the time in which the queued requests of its class that
+// go before a request get their slots, from recent service times.
+func (s *State) queueAhead(r Request, now time.Time) time.Duration {
 	slots := s.limits.LongSlots
 	if r.Class != model.ClassLong {
 		slots = s.limits.Slots - s.long
@@ -192,6 +198,7 @@
 		kept := (*q)[:0]
 		for _, r := range *q {
 			if now.After(r.waitsUntil) {
+				s.noteWait(r, now)
 				out = append(out, refuse(r.Ticket, model.ReasonLate, s.average(class).value()))
 				continue
 			}
--- a/internal/decision/retry/retry.go
+++ b/internal/decision/retry/retry.go
@@ -37,6 +37,8 @@
 	// GateKnown is true if the attempt named the gate's incarnation, so that
 	// the gate can be asked what became of the request.
 	GateKnown bool
+	// Overdue is true if an answer can no longer be of full use to the caller.
+	Overdue bool
 	// Alone is true if no other server is left.
 	Alone bool
 }
@@ -119,6 +121,8 @@
 		return question(p, r, random)
 	case !p.Replayable || exhausted(q, p, r) || !mayMove(r):
 		return Decision{Action: Finish}
+	case r.Reason == model.ReasonLate && (p.Alone || p.Overdue):
+		return Decision{Action: Finish} // the caller is told when to come again
 	case r.Reason == model.ReasonBusy && p.Alone:
 		return Decision{Action: SendAgain}
 	case r.Reason == model.ReasonBusy:
--- a/internal/decision/retry/retry_test.go
+++ b/internal/decision/retry/retry_test.go
@@ -25,7 +25,7 @@
 		q := retry.Request{Idempotent: d.HasArg("idempotent"), Attempts: 3}
 		p := retry.Progress{
 			Attempts: 1, TimeLeft: time.Second, Replayable: !d.HasArg("streamed"),
-			GateKnown: !d.HasArg("gate-unknown"), Alone: d.HasArg("alone"),
+			GateKnown: !d.HasArg("gate-unknown"), Alone: d.HasArg("alone"), Overdue: d.HasArg("overdue"),
 		}
 		d.MaybeScanArgs(t, "attempts", &p.Attempts)
 		d.MaybeScanArgs(t, "questions", &p.Questions)
--- a/internal/service/forward/series.go
+++ b/internal/service/forward/series.go
@@ -136,6 +136,7 @@
 // decide returns what follows the last attempt, within the retry budget.
 func (r *series) decide(last result) retry.Decision {
 	r.progress.TimeLeft = r.request.Deadline.Sub(r.service.clock.Now())
+	r.progress.Overdue = !r.request.LastChance && r.service.clock.Now().After(r.request.UsefulUntil)
 	r.progress.GateKnown = r.current.ID.Incarnation != 0
 	r.progress.Alone = len(r.tried) >= len(r.request.Destination.Endpoints)
 	r.progress.Replayable = last.Outcome == model.OutcomeAnswered || r.request.Body.Replayable()
