Read a body before its call takes a slot; let answers of the store take their time while they come

Cause: on the grown deployment links carry 7 to 8 Mbit/s. An upload of 60 KB held a slot for its way over two such links; bodies below 64 KiB were sent whole to gates that were busy.

--- a/internal/call/body.go
+++ b/internal/call/body.go
@@ -62,6 +62,14 @@
 // Streamed reports whether the body is too large to be held in memory.
 func (b *Body) Streamed() bool { return b.stream != nil }
 
+// expectAbove is the size in bytes from which it pays to ask whether a body is
+// wanted before it is sent.
+const expectAbove = 4 << 10
+
+// AskFirst reports whether the body is sent only after the receiver has asked
+// for it.
+func (b *Body) AskFirst() bool { return b.stream != nil || b.length > expectAbove }
+
 // Replayable reports whether Open would return the whole body again. It ends
 // the use of the reader that the last Open returned.
 func (b *Body) Replayable() bool {
--- a/internal/decision/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -139,30 +139,42 @@
 	return s.predictedWait(r, now)
 }
 
-// Arrive decides on a new request.
-func (s *State) Arrive(r Request, now time.Time) Decision {
+// Refusal returns the refusal that a request would get if it arrived now, and
+// reports false if it would run or wait. Nothing changes.
+func (s *State) Refusal(r Request, now time.Time) (Decision, bool) {
 	switch {
 	case s.leaving:
-		return refuse(r.Ticket, model.ReasonLeaving, 0)
+		return refuse(r.Ticket, model.ReasonLeaving, 0), true
 	case !r.Deadline.After(now):
-		return refuse(r.Ticket, model.ReasonLate, 0)
+		return refuse(r.Ticket, model.ReasonLate, 0), true
+	case r.Exclusive || s.free(r.Class):
+		return Decision{}, false
+	}
+	wait := s.predictedWait(r, now)
+	switch {
+	case r.Patience > 0 && wait > r.Patience:
+		return refuse(r.Ticket, model.ReasonBusy, wait), true
+	case s.queueFull(r.Class):
+		return refuse(r.Ticket, model.ReasonQueueFull, wait), true
+	case !s.limits.KeepLate && s.hopeless(r, wait, now):
+		return refuse(r.Ticket, model.ReasonLate, wait), true
+	}
+	return Decision{}, false
+}
+
+// Arrive decides on a new request.
+func (s *State) Arrive(r Request, now time.Time) Decision {
+	if refused, ok := s.Refusal(r, now); ok {
+		return refused
+	}
+	switch {
 	case r.Exclusive:
 		return s.arriveExclusive(r, now)
 	case s.free(r.Class):
 		s.start(r, now)
 		return Decision{Ticket: r.Ticket, Verdict: Run}
 	}
-	wait := s.predictedWait(r, now)
-	if r.Patience > 0 && wait > r.Patience {
-		return refuse(r.Ticket, model.ReasonBusy, wait)
-	}
-	if s.queueFull(r.Class) {
-		return refuse(r.Ticket, model.ReasonQueueFull, wait)
-	}
-	if !s.limits.KeepLate && s.hopeless(r, wait, now) {
-		return refuse(r.Ticket, model.ReasonLate, wait)
-	}
-	r.waitsUntil = s.waitsUntil(r, wait, now)
+	r.waitsUntil = s.waitsUntil(r, s.predictedWait(r, now), now)
 	r.queuedAt, r.predicted = now, s.queueAhead(r, now)
 	q := s.queue(r.Class)
 	*q = append(*q, r)
--- a/internal/decision/dedupe/dedupe.go
+++ b/internal/decision/dedupe/dedupe.go
@@ -137,6 +137,17 @@
 // Len returns the number of remembered requests.
 func (m *Memory) Len() int { return m.entries }
 
+// Remembers reports whether one of the keys is remembered.
+func (m *Memory) Remembers(keys []Key, now time.Time) bool {
+	m.expire(now)
+	for _, k := range keys {
+		if _, ok := m.byKey[k]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Lookup decides on a repeat without remembering a new request. It reports
 // false if none of the keys is remembered.
 func (m *Memory) Lookup(w Waiter, keys []Key, fingerprint uint64, now time.Time) (Decision, bool) {
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -64,6 +64,7 @@
 	// under which it no longer answers; both hold a model.InstanceID.
 	current, gone atomic.Value
 	counters      *counters
+	heldBytes     atomic.Int64 // of the bodies that wait with their calls
 	overload      atomic.Int64 // time of the last event about overload, in ns
 
 	mu        sync.Mutex
--- a/internal/service/gate/serve.go
+++ b/internal/service/gate/serve.go
@@ -34,8 +34,10 @@
 		s.refuse(c, r)
 		return
 	}
-	if r := c.holdBody(); r != nil {
-		s.refuse(c, r)
+	refused, release := s.holdBody(c)
+	defer release()
+	if refused != nil {
+		s.refuse(c, refused)
 		return
 	}
 	s.decide(c)
--- a/internal/service/source/caller.go
+++ b/internal/service/source/caller.go
@@ -70,12 +70,16 @@
 	return failed
 }
 
-// Get makes a call, which may take as long as limit with all of its answer, and
-// decodes the answer. The error is ErrNoValue, ErrHistoryGone or a *BusyError for an
+// Get makes a call whose answer may be held back for the time wait, and decodes
+// the answer. The answer must begin within the timeout after that, and then go on
+// without a pause as long as the timeout: a large answer on a slow link takes
+// longer than a small one. The error is ErrNoValue, ErrHistoryGone or a *BusyError for an
 // answer that says so.
-func (c *Caller) Get(ctx context.Context, path string, query url.Values, limit time.Duration, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
+func (c *Caller) Get(ctx context.Context, path string, query url.Values, wait, timeout time.Duration, out any) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(wait+timeout, func() { cancel(errNoProgress) })
+	defer timer.Stop()
 	target := c.base + path
 	if len(query) > 0 {
 		target += "?" + query.Encode()
@@ -86,14 +90,41 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return eris.Wrap(err, "calling the platform")
+		return eris.Wrap(because(ctx, err), "calling the platform")
 	}
 	defer response.Body.Close()
 	if err := checkStatus(response); err != nil {
 		return err
 	}
-	body := io.LimitReader(response.Body, maxAnswerBytes)
-	return eris.Wrap(json.NewDecoder(body).Decode(out), "decoding the platform's answer")
+	body := io.LimitReader(&progressReader{Reader: response.Body, timer: timer, timeout: timeout}, maxAnswerBytes)
+	return eris.Wrap(because(ctx, json.NewDecoder(body).Decode(out)), "decoding the platform's answer")
+}
+
+// errNoProgress is the cause of a call that was given up.
+var errNoProgress = eris.New("no answer, or no more of it, within the time limit")
+
+// because returns the cause of a cancelled call in place of its error.
+func because(ctx context.Context, err error) error {
+	if err != nil && ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+// progressReader puts the end of a call off with each piece of its answer.
+type progressReader struct {
+	io.Reader
+	timer   *time.Timer
+	timeout time.Duration
+}
+
+// Read implements io.Reader.
+func (r *progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.timer.Reset(r.timeout)
+	}
+	return n, err
 }
 
 func checkStatus(response *http.Response) error {
