--- a/internal/service/config/config.go
+++ b/internal/service/config/config.go
@@ -40,7 +40,7 @@
 // New returns the service of a fresh process. For the time bootstrapFor it
 // accepts nothing from the platform, so that a peer can first tell what runs.
 func New(bootstrapFor time.Duration) *Service {
-	acceptor := accept.New(document.Decode)
+	acceptor := accept.New(document.NewDecoder().Decode)
 	return &Service{
 		bootstrapFor:  bootstrapFor,
 		acceptor:      acceptor,
