Extend the chaos runs to a soak: more failures, many seeds, reports of those that fail

Added: pauses in series, a kill in the midst of a drain, reloads, resets and delays of links, a silent platform; galenastand soak and make soak run seeds one after the other and keep the reports of failures.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test lint demo chaos bench
+.PHONY: build test lint demo chaos soak bench
 
 build:
 	$(GO) build -trimpath -o $(BIN)/ ./cmd/...
@@ -35,3 +35,9 @@
 DURATION ?= 1m
 chaos: build
 	$(BIN)/galenastand chaos --bin $(BIN) --seed $(SEED) --duration $(DURATION)
+
+# SEEDS runs from SEED on, 20 s each; none begins after MINUTES, if that is set.
+SEEDS ?= 50
+MINUTES ?= 0
+soak: build
+	$(BIN)/galenastand soak --bin $(BIN) --seed $(SEED) --seeds $(SEEDS) --minutes $(MINUTES) --duration 20s --logs $(BIN)/soak
--- a/internal/standin/chaos/failures.go
+++ b/internal/standin/chaos/failures.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/standin/link"
 	"github.com/galenalever/galenalever/internal/standin/mesh"
 )
@@ -50,6 +52,81 @@
 	})
 }
 
+// pauseInSeries stops a node several times, with too little time between to find
+// out what it missed.
+func (s *striker) pauseInSeries(ctx context.Context) {
+	n, ok := s.claim()
+	if !ok {
+		return
+	}
+	s.logf("pause %s again and again", n.ID)
+	s.repairs.Go(func() {
+		defer s.release(n)
+		for range series {
+			n.Pause()
+			_ = clock.Wait(ctx, clock.System{}, leastFailure) // it goes on in any case
+			n.Resume()
+			_ = clock.Wait(ctx, clock.System{}, leastFailure/2)
+		}
+		s.logf("resume %s for good", n.ID)
+	})
+}
+
+// killDraining kills a node in the midst of its drain and starts it again.
+func (s *striker) killDraining(ctx context.Context) {
+	n, ok := s.claim()
+	if !ok {
+		return
+	}
+	after := s.upTo(leastFailure)
+	s.logf("drain %s and kill it after %s", n.ID, after.Round(time.Millisecond))
+	s.repairs.Go(func() {
+		n.TerminateAndKill(after)
+		s.startAgain(ctx, n)
+	})
+}
+
+// reloadSome sends several nodes the signal to reload.
+func (s *striker) reloadSome(context.Context) {
+	for range herd {
+		n := s.mesh.Nodes[s.random.IntN(len(s.mesh.Nodes))]
+		s.logf("reload %s", n.ID)
+		n.Reload()
+	}
+}
+
+// resetLinks breaks all connections to a node; new ones work at once.
+func (s *striker) resetLinks(context.Context) {
+	n := s.mesh.Nodes[s.random.IntN(len(s.mesh.Nodes))]
+	s.logf("reset the connections to %s", n.ID)
+	n.Traffic.Reset()
+	n.Control.Reset()
+}
+
+// delayLinks makes the links to a node slow and uneven for a time.
+func (s *striker) delayLinks(ctx context.Context) {
+	n, ok := s.claim()
+	if !ok {
+		return
+	}
+	slow := link.State{Delay: s.upTo(longestDelay), Jitter: s.upTo(longestDelay)}
+	s.logf("delay the links to %s by %s and up to %s", n.ID, slow.Delay.Round(time.Millisecond), slow.Jitter.Round(time.Millisecond))
+	s.changeLinks(ctx, n, slow)
+}
+
+// changeLinks sets the state of the links to a claimed node; later it heals.
+func (s *striker) changeLinks(ctx context.Context, n *mesh.Node, state link.State) {
+	n.Traffic.SetState(state)
+	n.Control.SetState(state)
+	s.later(ctx, func() {
+		healed := link.State{Delay: mesh.Egypt().LinkDelay}
+		n.Traffic.SetState(healed)
+		n.Control.SetState(healed)
+		s.release(n)
+		s.logf("links to %s healed", n.ID)
+	})
+}
+
 // restartOne drains a node and starts it again.
 func (s *striker) restartOne(ctx context.Context) {
 	n, ok := s.claim()
@@ -84,15 +161,7 @@
 	}
 	state.CutBack = !state.CutForward || s.random.IntN(2) == 0
 	s.logf("cut the links to %s: forward %t, back %t", n.ID, state.CutForward, state.CutBack)
-	n.Traffic.SetState(state)
-	n.Control.SetState(state)
-	s.later(ctx, func() {
-		healed := link.State{Delay: mesh.Egypt().LinkDelay}
-		n.Traffic.SetState(healed)
-		n.Control.SetState(healed)
-		s.release(n)
-		s.logf("links to %s healed", n.ID)
-	})
+	s.changeLinks(ctx, n, state)
 }
 
 // publishRace publishes versions of several teams at the same moment, some of
--- a/internal/standin/chaos/striker.go
+++ b/internal/standin/chaos/striker.go
@@ -22,6 +22,10 @@
 	spanOfFailures = 3 * time.Second
 	// herd is the number of nodes killed together.
 	herd = 4
+	// series is the number of pauses in a row.
+	series = 4
+	// longestDelay bounds the delay of a slow link, and its variation.
+	longestDelay = 120 * time.Millisecond
 	// keptRunning is the number of nodes that no failure touches at a time, so
 	// that the state of the mesh survives.
 	keptRunning = 6
@@ -60,6 +64,7 @@
 	actions := []func(context.Context){
 		s.killOne, s.killHerd, s.pauseOne, s.pauseOne, s.restartOne, s.restartOne,
 		s.failPlatform, s.publishRace, s.publishRace, s.crashServer, s.cutLink,
+		s.pauseInSeries, s.killDraining, s.reloadSome, s.resetLinks, s.delayLinks,
 	}
 	for clock.Wait(ctx, clock.System{}, leastPause+s.upTo(spanOfPauses)) == nil {
 		actions[s.random.IntN(len(actions))](repairCtx)
@@ -133,7 +138,7 @@
 	if failing {
 		return
 	}
-	outage := []platform.Outage{platform.OutageError, platform.OutageClosed}[s.random.IntN(2)]
+	outage := []platform.Outage{platform.OutageError, platform.OutageClosed, platform.OutageSilent}[s.random.IntN(3)]
 	old := s.mesh.Platform.Revision() / 2
 	stale := leastFailure + s.upTo(spanOfFailures)
 	s.logf("platform down (%s), then stale at revision %d for %s", outage, old, stale.Round(time.Millisecond))
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -130,6 +130,15 @@
 	l.changed = make(chan struct{})
 }
 
+// Reset breaks all open connections with a reset.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		p.reset()
+	}
+}
+
 // SetTarget changes where new connections lead.
 func (l *Link) SetTarget(address string) {
 	l.mu.Lock()
@@ -210,6 +219,16 @@
 // pair is the two connections of one relayed connection.
 type pair struct{ client, server net.Conn }
 
+// reset closes both connections so that their peers see a reset.
+func (p *pair) reset() {
+	for _, conn := range []net.Conn{p.client, p.server} {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // a connection that is closed already needs none
+		}
+	}
+	p.close()
+}
+
 func (p *pair) close() {
 	p.client.Close()
 	p.server.Close()
--- a/internal/standin/mesh/node.go
+++ b/internal/standin/mesh/node.go
@@ -165,6 +165,27 @@
 	return err
 }
 
+// TerminateAndKill begins a drain and kills the process in the midst of it.
+func (n *Node) TerminateAndKill(after time.Duration) {
+	p := n.detach()
+	if p == nil {
+		return
+	}
+	n.mesh.disturb(n.Addresses().Callers)
+	n.mesh.Platform.PutInstance(n.listing(platform.StateLeaving))
+	_ = p.terminate(after) // that it takes longer is expected
+	n.refuseLinks()
+}
+
+// Reload tells the process that its settings have changed.
+func (n *Node) Reload() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != nil {
+		n.process.signal(syscall.SIGHUP)
+	}
+}
+
 // Pause stops the process without its knowledge.
 func (n *Node) Pause() { n.setPaused(true, syscall.SIGSTOP) }
 
--- a/internal/standin/meshes.go
+++ b/internal/standin/meshes.go
@@ -32,3 +32,20 @@
 	defer stop()
 	return chaos.Run(ctx, chaos.Config{Bin: c.Bin, Seed: c.Seed, Duration: c.Duration, ResendUnknown: c.Resend, Out: w})
 }
+
+type soakCommand struct {
+	chaosCommand
+	Seeds   int     `help:"Number of seeds, from the given one on." env:"STAND_SEEDS" default:"50"`
+	Minutes float64 `help:"No further seed begins after so many minutes; 0 means all seeds." env:"STAND_MINUTES"`
+	Logs    string  `help:"Folder for the reports of seeds that failed." env:"STAND_LOGS" default:"soak"`
+}
+
+// Run implements the command.
+func (c *soakCommand) Run(w io.Writer) error {
+	ctx, stop := untilSignal()
+	defer stop()
+	return chaos.Soak(ctx, chaos.SoakConfig{
+		Run:   chaos.Config{Bin: c.Bin, Seed: c.Seed, Duration: c.Duration, ResendUnknown: c.Resend},
+		Seeds: c.Seeds, Limit: time.Duration(c.Minutes * float64(time.Minute)), Logs: c.Logs, Out: w,
+	})
+}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -49,6 +49,7 @@
 	OutageNone   Outage = ""
 	OutageError  Outage = "error"  // every call is answered 503
 	OutageClosed Outage = "closed" // every connection is closed without an answer
+	OutageSilent Outage = "silent" // no call is answered
 )
 
 // Mode is the present behaviour of the stand-in.
--- a/internal/standin/platform/read.go
+++ b/internal/standin/platform/read.go
@@ -56,7 +56,7 @@
 		p.mu.Lock()
 		allowed := p.limiter.allow(p.clock.Now())
 		p.mu.Unlock()
-		if p.refuseInOutage(w) {
+		if p.refuseInOutage(w, r) {
 			return
 		}
 		if !allowed {
@@ -69,12 +69,15 @@
 }
 
 // refuseInOutage answers the call if the platform is down.
-func (p *Platform) refuseInOutage(w http.ResponseWriter) bool {
+func (p *Platform) refuseInOutage(w http.ResponseWriter, r *http.Request) bool {
 	switch p.Mode().Outage {
 	case OutageNone:
 		return false
 	case OutageClosed:
 		panic(http.ErrAbortHandler)
+	case OutageSilent:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
 	default:
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return true
@@ -88,7 +91,7 @@
 		return
 	}
 	p.await(r.Context(), watch, func() bool { return p.valuesAt() > watch.after })
-	if !p.refuseInOutage(w) {
+	if !p.refuseInOutage(w, r) {
 		writeJSON(w, p.Keys(watch.after))
 	}
 }
@@ -100,7 +103,7 @@
 		return
 	}
 	p.await(r.Context(), watch, func() bool { return p.instancesAt() > watch.after })
-	if !p.refuseInOutage(w) {
+	if !p.refuseInOutage(w, r) {
 		writeJSON(w, p.Instances(watch.after))
 	}
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -20,6 +20,7 @@
 	Link     linkCommand      `cmd:"" help:"Run a relay with the delay of a link."`
 	Demo     demoCommand      `cmd:"" help:"Run the Java deployment and publish two versions under load."`
 	Chaos    chaosCommand     `cmd:"" help:"Run the Egyptian deployment under failures and check the promises."`
+	Soak     soakCommand      `cmd:"" help:"Run chaos with one seed after the other and keep the reports of those that fail."`
 }
 
 // Main runs one command and returns the exit code.
