--- a/internal/service/gate/drain.go
+++ b/internal/service/gate/drain.go
@@ -13,6 +13,19 @@
 // nodes which have not heard that it leaves learn it from a refusal.
 const lameDuck = 1500 * time.Millisecond
 
+// depart begins the end of the gate. Its node is not ready any more; the gate
+// refuses requests once ServeLeaving is over.
+func (s *Service) depart() {
+	if s.departing.Swap(true) {
+		return
+	}
+	if s.serveLeaving <= 0 {
+		s.leave()
+		return
+	}
+	s.clock.AfterFunc(s.serveLeaving, s.leave)
+}
+
 // leave refuses queued and new requests from now on. Running ones go on.
 func (s *Service) leave() {
 	s.mu.Lock()
@@ -55,6 +68,12 @@
 	return nil
 }
 
+// AwaitDrained returns when no request of other nodes runs on the own server any
+// more, if the gate has to leave; it reports false if the context ended first.
+func (s *Service) AwaitDrained(ctx context.Context) bool {
+	return !s.departing.Load() || s.awaitIdle(ctx)
+}
+
 func (s *Service) awaitIdle(ctx context.Context) bool {
 	select {
 	case <-s.idle:
@@ -79,7 +98,7 @@
 // ready reports why the node should get no callers. A server that does not work
 // is no such reason, since the node's callers use others as well.
 func (s *Service) ready() error {
-	if s.leaving.Load() {
+	if s.departing.Load() {
 		return errLeaving
 	}
 	return nil
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -35,6 +35,10 @@
 	Headers frontend.Headers
 	// KeepLate is admission.Limits.KeepLate, for experiments.
 	KeepLate bool
+	// ServeLeaving is how long a gate that has to leave goes on taking requests,
+	// while its node sends its own callers elsewhere: the server beside it may
+	// stay.
+	ServeLeaving time.Duration
 	// RememberFor is how long finished requests are remembered; 0 means 10
 	// minutes.
 	RememberFor time.Duration
@@ -43,19 +47,22 @@
 // Service implements the kernel's service "gate". It is an http.Handler, so that
 // a caller's node in the same process needs no connection.
 type Service struct {
-	self       model.Self
-	listener   net.Listener
-	timestamps *timeline.Clock
-	headers    frontend.Headers
-	keepLate   bool
-	partners   partners
-	peers      *peerClient
-	peerServer http.Handler
-	http       *http.Server
-	closed     chan struct{}
-	clock      clock.Clock
-	log        *slog.Logger
-	leaving    atomic.Bool
+	self         model.Self
+	listener     net.Listener
+	timestamps   *timeline.Clock
+	headers      frontend.Headers
+	keepLate     bool
+	serveLeaving time.Duration
+	partners     partners
+	peers        *peerClient
+	peerServer   http.Handler
+	http         *http.Server
+	closed       chan struct{}
+	clock        clock.Clock
+	log          *slog.Logger
+	// departing is true once the node has to leave; the gate is leaving from the
+	// moment at which it refuses requests.
+	departing, leaving atomic.Bool
 	// withdrawn is true while the platform has the own server leave; the gate
 	// itself goes on. listedSlots is 0 while the list names no slots.
 	withdrawn   atomic.Bool
@@ -98,17 +105,18 @@
 		bounds.Window = c.RememberFor
 	}
 	s := &Service{
-		self:       c.Self,
-		listener:   c.Listener,
-		timestamps: c.Timestamps,
-		headers:    c.Headers,
-		keepLate:   c.KeepLate,
-		closed:     make(chan struct{}),
-		admission:  admission.New(admission.Limits{}),
-		memory:     dedupe.New(bounds),
-		queued:     make(map[admission.Ticket]chan admission.Decision),
-		repeats:    make(map[dedupe.Waiter]chan dedupe.Decision),
-		idle:       make(chan struct{}),
+		self:         c.Self,
+		listener:     c.Listener,
+		timestamps:   c.Timestamps,
+		headers:      c.Headers,
+		keepLate:     c.KeepLate,
+		serveLeaving: c.ServeLeaving,
+		closed:       make(chan struct{}),
+		admission:    admission.New(admission.Limits{}),
+		memory:       dedupe.New(bounds),
+		queued:       make(map[admission.Ticket]chan admission.Decision),
+		repeats:      make(map[dedupe.Waiter]chan dedupe.Decision),
+		idle:         make(chan struct{}),
 
 		refreshed: make(chan struct{}, 1),
 		joined:    make(chan model.Member, joinedCapacity),
@@ -188,7 +196,7 @@
 
 func (s *Service) handlePresenceChanged(m control.PresenceChanged) {
 	if m.Presence >= model.PresenceLeaving {
-		s.leave()
+		s.depart()
 	}
 }
 
--- a/internal/service/gate/node_test.go
+++ b/internal/service/gate/node_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -62,8 +63,10 @@
 
 // memberList is what all nodes of a test know of the members.
 type memberList struct {
-	mu   sync.Mutex
-	list []model.Member
+	// serveLeaving is the setting of the gates that start next.
+	serveLeaving time.Duration
+	mu           sync.Mutex
+	list         []model.Member
 	// starts counts the processes by instance.
 	starts map[string]model.Incarnation
 }
@@ -136,7 +139,7 @@
 	members.add(self.Member(model.PresenceReady))
 	n.backend = backend.New(backend.Config{URL: "http://" + n.server.address, HealthPath: "/healthz", HealthInterval: checkInterval})
 	suspects := quarantine.New(quarantine.Config{Self: self})
-	n.gate = gate.New(gate.Config{Self: self, Listener: traffic})
+	n.gate = gate.New(gate.Config{Self: self, Listener: traffic, ServeLeaving: members.serveLeaving})
 	exchange := wire.NewExchangeServer(fakeExchange{clock: clk, suspects: suspects})
 	n.control = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.deaf.Load() {
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -138,6 +138,13 @@
 		waitFor(func() bool { return !n.backend.Available() })
 		n.server.start()
 		waitFor(n.backend.Available)
+	case "serve-leaving":
+		s.members.serveLeaving = after
+	case "depart":
+		must(n.kernel.Loop().Post(t.Context(), control.PresenceChanged{Presence: model.PresenceLeaving}))
+		waitFor(func() bool { return n.gate.Ready() != nil })
+	case "left": // returns when the gate refuses requests
+		waitFor(func() bool { return n.gate.Stats().Leaving })
 	case "leave":
 		must(n.kernel.Loop().Post(t.Context(), control.PresenceChanged{Presence: model.PresenceLeaving}))
 		waitFor(func() bool { return n.gate.Stats().Leaving })
--- a/internal/service/ingress/mesh_test.go
+++ b/internal/service/ingress/mesh_test.go
@@ -34,6 +34,7 @@
 	timeline   *fakeTimeline
 	observed   *observedBalancer
 	tree       *model.Tree
+	gate       *ownGate
 	gates      map[string]*fakeGate
 	script     *script
 	url        string
@@ -62,6 +63,7 @@
 		t: t, clock: testClock{fake}, fake: fake,
 		config:     &fakeConfig{snapshot: kernel.NewSnapshot[*model.Configuration](nil)},
 		membership: &fakeMembership{},
+		gate:       &ownGate{drained: make(chan struct{})},
 		watchdog:   &fakeWatchdog{},
 		timeline:   &fakeTimeline{},
 		tree:       &model.Tree{Services: make(map[model.ServiceName]*model.Service)},
@@ -71,9 +73,22 @@
 		cancels:    make(map[string]context.CancelFunc),
 		client:     &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}},
 	}
+	close(m.gate.drained)
 	return m
 }
 
+// ownGate is the gate of the node itself.
+type ownGate struct {
+	// drained is closed while no request runs on the own server.
+	drained chan struct{}
+}
+
+func (*ownGate) Name() string { return control.Gate }
+
+func (g *ownGate) AwaitDrained(ctx context.Context) bool {
+	return kernel.Await(ctx, g.drained) == nil
+}
+
 // start brings the node up with the services and gates declared so far.
 func (m *mesh) start(maxInFlight int64) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -86,7 +101,7 @@
 	m.observed = newObservedBalancer(balancer.New(balancer.Config{Self: self, Random: random}))
 	m.kernel = kernel.New(m.clock, slog.New(slog.DiscardHandler))
 	err = m.kernel.Register(
-		m.timeline, &fakeMetrics{scope: tally.NewTestScope("", nil)}, m.watchdog, m.config, m.membership,
+		m.gate, m.timeline, &fakeMetrics{scope: tally.NewTestScope("", nil)}, m.watchdog, m.config, m.membership,
 		routing.New(), m.observed, forward.New(forward.Config{Random: random}),
 		ingress.New(ingress.Config{Self: self, Listener: m.listener, MaxInFlight: maxInFlight}),
 	)
--- a/internal/service/ingress/service.go
+++ b/internal/service/ingress/service.go
@@ -56,6 +56,11 @@
 		// synchronised.
 		Fresh() bool
 	}
+	ownServer interface {
+		// AwaitDrained returns when no request of other nodes runs on the own
+		// server any more; it reports false if the context ended first.
+		AwaitDrained(ctx context.Context) bool
+	}
 )
 
 // Config is what the service needs to know.
@@ -80,6 +85,7 @@
 	table     *kernel.Snapshot[*route.Table]
 	forwarder forwarder
 	watchdog  freshness // nil if the node has none
+	gate      ownServer // nil if the node has none
 	metrics   metrics
 	server    *http.Server
 	served    chan error
@@ -125,6 +131,9 @@
 	if watchdog, err := kernel.Find[freshness](c, control.Watchdog); err == nil {
 		s.watchdog = watchdog
 	}
+	if gate, err := kernel.Find[ownServer](c, control.Gate); err == nil {
+		s.gate = gate
+	}
 	s.table = routing.Table()
 	s.metrics.scope = scopes.Scope().SubScope("ingress")
 	s.clock = c.Clock
@@ -154,12 +163,33 @@
 // Stop implements kernel.Stopper. It closes the listener, tells callers to
 // close their connections and waits for the running requests.
 func (s *Service) Stop(ctx context.Context) error {
+	s.awaitOwnServer(ctx)
 	s.server.SetKeepAlivesEnabled(false)
 	err := s.server.Shutdown(ctx)
 	<-s.served
 	return err
 }
 
+// stopReserve is the part of the time to stop that is kept for the callers'
+// connections.
+const stopReserve = 500 * time.Millisecond
+
+// awaitOwnServer waits while the own server runs requests of other nodes, since
+// they make calls of their own through this service.
+func (s *Service) awaitOwnServer(ctx context.Context) {
+	if s.gate == nil {
+		return
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-stopReserve))
+		defer cancel()
+	}
+	if !s.gate.AwaitDrained(ctx) {
+		s.log.Warn("the own server runs requests at the end of the time to drain; their calls are cut")
+	}
+}
+
 // idOf returns an ID that no other request in the mesh has: it contains the
 // instance and the start time of the process.
 func (s *Service) idOf(number uint64) model.RequestID {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,7 @@
 	AdvertiseControl  string `help:"Control address that other nodes use; default is the listener's." env:"GALENA_ADVERTISE_CONTROL"`
 	AdvertiseOperator string `help:"Operator address that tools use; default is the listener's." env:"GALENA_ADVERTISE_OPERATOR"`
 
+	DrainServe   time.Duration `help:"How long the server of a node that shuts down goes on taking requests of other nodes." env:"GALENA_DRAIN_SERVE" default:"0s"`
 	DrainLead    time.Duration `help:"How long a node that shuts down goes on taking callers, so that they are sent elsewhere first." env:"GALENA_DRAIN_LEAD" default:"0s"`
 	DrainTimeout time.Duration `help:"Longest wait for running requests at shutdown." env:"GALENA_DRAIN_TIMEOUT" default:"5m"`
 
@@ -74,6 +75,7 @@
 	checkNotNegative(&list, "--remember-for", d.RememberFor)
 	checkNotNegative(&list, "--max-stale", d.MaxStale)
 	checkNotNegative(&list, "--drain-lead", d.DrainLead)
+	checkNotNegative(&list, "--drain-serve", d.DrainServe)
 	checkPositive(&list, "--drain-timeout", d.DrainTimeout)
 	for _, peer := range d.Peers {
 		checkAddress(&list, "--peer", peer)
