--- a/internal/service/source/retry.go
+++ b/internal/service/source/retry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"time"
 
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/timeline"
@@ -37,10 +38,16 @@
 	if r.failures == 1 {
 		r.service.timeline.Record(timeline.KindSourceFailed, r.purpose+": "+err.Error())
 	}
-	delay := r.service.config.Pacing.Retry.Delay(r.failures, r.rng)
+	_ = clock.Wait(ctx, r.service.clock, r.service.config.Pacing.delay(r.failures, err, r.rng))
+}
+
+// delay returns the time before the next call after a number of failures in a
+// row, the last with the given error.
+func (p Pacing) delay(failures int, err error, rng *rand.Rand) time.Duration {
+	delay := p.Retry.Delay(failures, rng)
 	var busy *BusyError
 	if errors.As(err, &busy) {
-		delay += busy.RetryAfter
+		delay += min(busy.RetryAfter, p.LongestRetryAfter)
 	}
-	_ = clock.Wait(ctx, r.service.clock, delay)
+	return delay
 }
--- /dev/null
+++ b/internal/service/source/retry_test.go
@@ -0,0 +1,35 @@
+package source
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/galenalever/galenalever/internal/decision/backoff"
+)
+
+// TestDelayAfterFailures checks that the platform can ask for a longer delay, but
+// not for so long that the node would be out of date.
+func TestDelayAfterFailures(t *testing.T) {
+	pacing := Pacing{
+		Retry:             backoff.Policy{Base: 100 * time.Millisecond, Max: 400 * time.Millisecond},
+		LongestRetryAfter: time.Second,
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for name, test := range map[string]struct {
+		err         error
+		least, most time.Duration
+	}{
+		"a failure":           {eris.New("reset"), 0, 400 * time.Millisecond},
+		"a short Retry-After": {&BusyError{RetryAfter: 300 * time.Millisecond}, 300 * time.Millisecond, 700 * time.Millisecond},
+		"a long Retry-After":  {&BusyError{RetryAfter: 5 * time.Second}, time.Second, 1400 * time.Millisecond},
+	} {
+		for failures := 1; failures < 20; failures++ {
+			if got := pacing.delay(failures, test.err, rng); got < test.least || got > test.most {
+				t.Errorf("%s, %d in a row: %s, want %s to %s", name, failures, got, test.least, test.most)
+			}
+		}
+	}
+}
--- a/internal/service/source/source.go
+++ b/internal/service/source/source.go
@@ -32,6 +32,9 @@
 	ListInterval time.Duration
 	// Retry bounds the delay after a failed call.
 	Retry backoff.Policy
+	// LongestRetryAfter bounds the further delay that the platform can ask for:
+	// it cannot know how soon a node must be current again.
+	LongestRetryAfter time.Duration
 }
 
 // DefaultPacing suits a platform that few nodes of many read.
@@ -39,6 +42,8 @@
 	WatchWait:    30 * time.Second,
 	ListInterval: time.Second,
 	Retry:        backoff.Policy{Base: 3 * time.Second, Max: 30 * time.Second},
+
+	LongestRetryAfter: time.Minute,
 }
 
 const (
