Ask all probed peers what they run when a fresh process meets one that holds versions back

Change: if the first peer's state holds versions back, the other probed peers are asked as well before the state is taken in; the newest running versions win.

--- a/internal/service/config/scenario_test.go
+++ b/internal/service/config/scenario_test.go
@@ -84,6 +84,8 @@
 		s.nodes[subject].handle(control.CutReceived{Cut: s.tornCut(t, d)})
 	case "poll":
 		s.nodes[subject].receive(s.nodes[subject].poll(s.nodes[from]))
+	case "bootstrap": // an answer to the question of a fresh process
+		s.nodes[subject].receive(replicate.Bootstrap(s.nodes[from].configuration()))
 	case "compare":
 		s.nodes[subject].receive(s.nodes[subject].compare(s.nodes[from]))
 	case "send":
--- a/internal/service/exchange/bootstrap.go
+++ b/internal/service/exchange/bootstrap.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -39,28 +40,71 @@
 	rng := s.random("bootstrap")
 	s.clock.AfterFunc(s.bootstrapTime(rng), func() { _ = s.loop.Post(ctx, bootstrapOver{}) })
 	for ctx.Err() == nil && !s.hasConfiguration() {
-		if p, ok := s.newest(ctx, s.bootstrapCandidates(rng)); ok {
-			_ = s.poll(ctx, p, question{bootstrap: true}) // a failure is followed by another attempt
-		}
+		s.bootstrapFrom(ctx, s.newestFirst(ctx, s.bootstrapCandidates(rng))) // a failure is followed by another attempt
 		pause := bootstrapRetryMin + time.Duration(rng.Int64N(int64(bootstrapRetryMax-bootstrapRetryMin)))
 		_ = clock.Wait(ctx, s.clock, pause)
 	}
 }
 
-// newest asks nodes for the revisions of their cuts and returns the one whose is
-// the greatest, so that a fresh process does not start behind what it ran in an
-// earlier life because it met a node that lags.
-func (s *Service) newest(ctx context.Context, candidates []peer) (peer, bool) {
-	revisions := make([]model.Revision, len(candidates))
+// bootstrapFrom takes over the state of the first peer. If that holds versions
+// back, the others may run newer versions of the same subtrees: their answers are
+// fetched before any is taken in.
+func (s *Service) bootstrapFrom(ctx context.Context, peers []peer) {
+	if len(peers) == 0 {
+		return
+	}
+	ask := question{bootstrap: true}
+	request := s.request(peers[0], ask)
+	answers := make([]*wire.PollResponse, len(peers))
+	var err error
+	if answers[0], err = s.call(ctx, peers[0], ask, request); err != nil {
+		s.log.Debug("no bootstrap from the peer", "peer", peers[0].name(), "error", err)
+		return
+	}
+	if len(answers[0].GetRunning()) > 0 {
+		var group sync.WaitGroup
+		for i, p := range peers[1:] {
+			group.Go(func() {
+				var err error
+				if answers[i+1], err = s.call(ctx, p, ask, request); err != nil {
+					s.log.Debug("no further versions from the peer", "peer", p.name(), "error", err)
+				}
+			})
+		}
+		group.Wait()
+	}
+	for i, answer := range answers {
+		if answer == nil {
+			continue
+		}
+		if err := s.takeAnswer(ctx, peers[i], ask, request, answer); err != nil {
+			s.log.Debug("answer of the peer not taken", "peer", peers[i].name(), "error", err)
+		}
+	}
+}
+
+// newestFirst asks nodes for the revisions of their cuts and returns those that
+// have one, the greatest first, so that a fresh process does not start behind what
+// it ran in an earlier life because it met a node that lags.
+func (s *Service) newestFirst(ctx context.Context, candidates []peer) []peer {
+	type answer struct {
+		peer     peer
+		revision model.Revision
+	}
+	answers := make([]answer, len(candidates))
 	var group sync.WaitGroup
 	for i, p := range candidates {
-		group.Go(func() { revisions[i] = s.probe(ctx, p) })
+		group.Go(func() { answers[i] = answer{p, s.probe(ctx, p)} })
 	}
 	group.Wait()
-	if len(revisions) == 0 || slices.Max(revisions) == 0 {
-		return peer{}, false
+	slices.SortStableFunc(answers, func(a, b answer) int { return cmp.Compare(b.revision, a.revision) })
+	var out []peer
+	for _, a := range answers {
+		if a.revision > 0 {
+			out = append(out, a.peer)
+		}
 	}
-	return candidates[slices.Index(revisions, slices.Max(revisions))], true
+	return out
 }
 
 // probe returns the revision of a node's cut, or 0 if the node has none or does
--- a/internal/service/exchange/http_test.go
+++ b/internal/service/exchange/http_test.go
@@ -7,11 +7,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/findings"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/service/exchange"
@@ -20,6 +22,9 @@
 	"github.com/galenalever/galenalever/internal/timeline"
 )
 
+// receivedCapacity is more than the deltas that a test waits for.
+const receivedCapacity = 8
+
 // partners stands for the time line and the config service.
 type partners struct {
 	clock *timeline.Clock
@@ -66,6 +71,11 @@
 }
 
 func startNode(t *testing.T, id model.InstanceID, revision model.Revision, seeds ...string) *testNode {
+	t.Helper()
+	return startNodeWith(t, id, &model.Configuration{Cut: model.Cut{Revision: revision}}, seeds...)
+}
+
+func startNodeWith(t *testing.T, id model.InstanceID, state *model.Configuration, seeds ...string) *testNode {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -73,12 +83,11 @@
 	}
 	self := model.Self{ID: id, Service: "katalog/katalog", Domain: "jkt", Incarnation: 1}
 	self.Addresses.Control = listener.Addr().String()
-	state := &model.Configuration{Cut: model.Cut{Revision: revision}}
 	shared := &partners{clock: timeline.NewClock(clock.System{}), state: kernel.NewSnapshot(state)}
 	n := &testNode{
 		kernel:     kernel.New(clock.System{}, slog.New(slog.DiscardHandler)),
 		membership: membership.New(membership.Config{Self: self}),
-		config:     configuration{partners: shared, received: make(chan control.DeltaReceived, 1)},
+		config:     configuration{partners: shared, received: make(chan control.DeltaReceived, receivedCapacity)},
 		address:    self.Addresses.Control,
 	}
 	n.exchange = exchange.New(exchange.Config{Self: self, Listener: listener, Seeds: seeds, BootstrapFor: time.Minute})
@@ -106,6 +115,46 @@
 	}
 }
 
+// holding returns the state of a node that holds a faulty version back and runs
+// an older one.
+func holding(running model.Revision) *model.Configuration {
+	const key = model.Key("teams/a")
+	faulty := &model.Subtree{Key: key, Revision: 7}
+	faulty.Rejected.Addf(findings.Place{Source: string(key)}, "faulty")
+	older := &model.Subtree{Key: key, Revision: running, Horizon: running}
+	older.Hash = model.HashLeaves(older.Leaves)
+	return &model.Configuration{
+		Cut:     model.Cut{Revision: 7, Subtrees: map[model.Key]*model.Subtree{key: faulty}},
+		Running: map[model.Key]*model.Subtree{key: older},
+		Held:    []model.Held{{Key: key, Revision: 7, Findings: faulty.Rejected}},
+	}
+}
+
+// TestFreshProcessHearsWhatAllPeersRun checks that a process which meets a node
+// that holds a version back also asks the others what they run instead: nodes
+// with the same cut can run different versions.
+func TestFreshProcessHearsWhatAllPeersRun(t *testing.T) {
+	first := startNodeWith(t, "katalog-1", holding(3))
+	second := startNodeWith(t, "katalog-2", holding(5))
+	fresh := startNode(t, "katalog-3", 0, first.address, second.address)
+	var heard []model.Revision
+	over := time.After(5 * time.Second)
+	for len(heard) < 2 {
+		select {
+		case got := <-fresh.config.received:
+			if got.Delta.Bootstrap {
+				heard = append(heard, got.Delta.Running[0].Subtree.Revision)
+			}
+		case <-over:
+			t.Fatalf("heard of the running versions %v, want 3 and 5", heard)
+		}
+	}
+	slices.Sort(heard)
+	if !slices.Equal(heard, []model.Revision{3, 5}) {
+		t.Errorf("heard of the running versions %v, want 3 and 5", heard)
+	}
+}
+
 // awaitMember waits for the view to hold an instance; the test's own timeout
 // bounds it.
 func awaitMember(t *testing.T, n *testNode, id model.InstanceID) {
--- a/internal/service/exchange/question.go
+++ b/internal/service/exchange/question.go
@@ -44,16 +44,25 @@
 // poll asks a peer and has the answer taken in before it returns.
 func (s *Service) poll(ctx context.Context, p peer, ask question) error {
 	request := s.request(p, ask)
-	callCtx, cancel := clock.WithTimeout(ctx, s.clock, ask.timeout(request))
-	defer cancel()
-	response, err := s.dial(p.address).Poll(callCtx, request)
+	response, err := s.call(ctx, p, ask, request)
 	if err != nil {
 		return err
 	}
-	s.timeline.Clock().Observe(timeline.Timestamp(response.GetTime()))
 	return s.takeAnswer(ctx, p, ask, request, response)
 }
 
+// call makes one poll.
+func (s *Service) call(ctx context.Context, p peer, ask question, request *wire.PollRequest) (*wire.PollResponse, error) {
+	ctx, cancel := clock.WithTimeout(ctx, s.clock, ask.timeout(request))
+	defer cancel()
+	response, err := s.dial(p.address).Poll(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	s.timeline.Clock().Observe(timeline.Timestamp(response.GetTime()))
+	return response, nil
+}
+
 func (s *Service) request(p peer, ask question) *wire.PollRequest {
 	request := &wire.PollRequest{
 		Node:             string(s.config.Self.ID),
