Ask callers of a leaving node to close their connections

Clients can come until the end of the lead. Change: once the node has to leave, each answer closes its connection, so that few are idle at the end. Ruled out: the calls of running work (a client's request here), a longer lead (the same race, later).

--- a/internal/service/ingress/pass.go
+++ b/internal/service/ingress/pass.go
@@ -25,6 +25,7 @@
 		h[name] = values
 	}
 	h.Set(hop.HeaderOutcome, model.OutcomeAnswered.String())
+	s.closeAfter(h)
 	w.WriteHeader(response.Status)
 	if err := copyBody(w, response); err != nil {
 		s.finish(entry, response.Status, model.OutcomeUnknown, model.ReasonConnectionLost)
--- a/internal/service/ingress/refusal.go
+++ b/internal/service/ingress/refusal.go
@@ -90,6 +90,7 @@
 	entry.retryAfter = told.RetryAfter
 	s.finish(entry, r.status, r.outcome, r.reason)
 	h := w.Header()
+	s.closeAfter(h)
 	s.config.Headers.Refuse(h, told)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Cache-Control", "no-store")
--- a/internal/service/ingress/service.go
+++ b/internal/service/ingress/service.go
@@ -92,6 +92,8 @@
 	idPrefix  string
 	lastID    atomic.Uint64
 	inFlight  atomic.Int64
+	// leaving is true once the node has to leave.
+	leaving atomic.Bool
 	// longestWaits holds the longest wait of callers by route.
 	longestWaits sync.Map // routeKey -> *atomic.Int64
 }
@@ -134,6 +136,7 @@
 	if gate, err := kernel.Find[ownServer](c, control.Gate); err == nil {
 		s.gate = gate
 	}
+	kernel.Subscribe(c.Loop, s.handlePresenceChanged)
 	s.table = routing.Table()
 	s.metrics.scope = scopes.Scope().SubScope("ingress")
 	s.clock = c.Clock
@@ -160,6 +163,21 @@
 	return nil
 }
 
+func (s *Service) handlePresenceChanged(m control.PresenceChanged) {
+	if m.Presence >= model.PresenceLeaving {
+		s.leaving.Store(true)
+	}
+}
+
+// closeAfter has a caller close its connection after the answer if the node has
+// to leave: an idle connection that is closed at the end of the drain can meet the
+// next request on its way.
+func (s *Service) closeAfter(h http.Header) {
+	if s.leaving.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 // Stop implements kernel.Stopper. It closes the listener, tells callers to
 // close their connections and waits for the running requests.
 func (s *Service) Stop(ctx context.Context) error {
--- a/internal/service/ingress/stop_test.go
+++ b/internal/service/ingress/stop_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"testing"
 	"time"
+
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/model"
 )
 
 // TestCallsOfTheOwnServerAreTakenUntilItHasDrained checks that a node that stops
@@ -30,3 +33,23 @@
 		t.Error("a call is taken after the end")
 	}
 }
+
+// TestCallersCloseTheirConnectionsWhileTheNodeLeaves checks that a node which has
+// to leave asks its callers to close their connections, while it still answers.
+func TestCallersCloseTheirConnectionsWhileTheNodeLeaves(t *testing.T) {
+	m := newMesh(t)
+	m.start(0)
+	for _, leaving := range []bool{false, true} {
+		if leaving {
+			m.post(control.PresenceChanged{Presence: model.PresenceLeaving})
+		}
+		response, err := m.client.Get(m.url + "/nowhere")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.Close != leaving {
+			t.Errorf("leaving %t: the connection closes %t", leaving, response.Close)
+		}
+	}
+}
