Log and count the calls to the platform, and how long a version takes after one

One line for each call that failed or brought a large answer, one for each version read; small answers are only counted.

--- a/internal/service/source/caller.go
+++ b/internal/service/source/caller.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,8 +38,26 @@
 type Caller struct {
 	base string
 	http *http.Client
+	// observer is called after each call; nil if nobody asked.
+	observer atomic.Pointer[func(Call)]
 }
 
+// Call tells how one call to the platform went.
+type Call struct {
+	Path string
+	// Asked is when the call was sent, Answered when its answer began, which is
+	// zero for a call without one, and Ended when all of it was decoded or given
+	// up.
+	Asked, Answered, Ended time.Time
+	// Bytes is the size of the body that was read.
+	Bytes int64
+	Err   error
+}
+
+// Observe has a function called after each call, by the goroutine that made the
+// call.
+func (c *Caller) Observe(observer func(Call)) { c.observer.Store(&observer) }
+
 // NewCaller returns a caller for a base URL.
 func NewCaller(base string) *Caller {
 	dialer := &net.Dialer{
@@ -70,12 +89,25 @@
 	return failed
 }
 
-// Get makes a call whose answer may be held back for the time wait, and decodes
+// Get makes a call and reports it to the observer; see get.
+func (c *Caller) Get(ctx context.Context, path string, query url.Values, wait, timeout time.Duration, out any) error {
+	call := Call{Path: path, Asked: time.Now()}
+	call.Err = c.get(ctx, path, query, wait, timeout, out, &call)
+	call.Ended = time.Now()
+	if observer := c.observer.Load(); observer != nil {
+		(*observer)(call)
+	}
+	return call.Err
+}
+
+// get makes a call whose answer may be held back for the time wait, and decodes
 // the answer. The answer must begin within the timeout after that, and then go on
 // without a pause as long as the timeout: a large answer on a slow link takes
 // longer than a small one. The error is ErrNoValue, ErrHistoryGone or a *BusyError for an
 // answer that says so.
-func (c *Caller) Get(ctx context.Context, path string, query url.Values, wait, timeout time.Duration, out any) error {
+func (c *Caller) get(
+	ctx context.Context, path string, query url.Values, wait, timeout time.Duration, out any, call *Call,
+) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := time.AfterFunc(wait+timeout, func() { cancel(errNoProgress) })
@@ -93,10 +125,12 @@
 		return eris.Wrap(because(ctx, err), "calling the platform")
 	}
 	defer response.Body.Close()
+	call.Answered = time.Now()
 	if err := checkStatus(response); err != nil {
 		return err
 	}
-	body := io.LimitReader(&progressReader{Reader: response.Body, timer: timer, timeout: timeout}, maxAnswerBytes)
+	progress := &progressReader{Reader: response.Body, timer: timer, timeout: timeout, bytes: &call.Bytes}
+	body := io.LimitReader(progress, maxAnswerBytes)
 	return eris.Wrap(because(ctx, json.NewDecoder(body).Decode(out)), "decoding the platform's answer")
 }
 
@@ -116,6 +150,7 @@
 	io.Reader
 	timer   *time.Timer
 	timeout time.Duration
+	bytes   *int64
 }
 
 // Read implements io.Reader.
@@ -123,6 +158,7 @@
 	n, err := r.Reader.Read(p)
 	if n > 0 {
 		r.timer.Reset(r.timeout)
+		*r.bytes += int64(n)
 	}
 	return n, err
 }
--- a/internal/service/source/client.go
+++ b/internal/service/source/client.go
@@ -20,6 +20,9 @@
 // NewClient returns a client for the platform at a URL.
 func NewClient(base string) *Client { return &Client{caller: NewCaller(base)} }
 
+// Observe has a function called after each call.
+func (c *Client) Observe(observer func(Call)) { c.caller.Observe(observer) }
+
 type keyList struct {
 	Revision uint64 `json:"revision"`
 	Keys     []struct {
--- a/internal/service/source/keys.go
+++ b/internal/service/source/keys.go
@@ -40,10 +40,14 @@
 
 func (s *Service) postCut(ctx context.Context, assembler *reading.Assembler, current order) {
 	var messages []kernel.Message
-	if cut, ok := assembler.Cut(); ok {
+	cut, ok := assembler.Cut()
+	if ok {
 		messages = append(messages, control.CutReceived{Cut: cut})
 	}
+	posted := s.clock.Now()
 	s.post(ctx, read{listing: listingKeys, round: current.round, handled: make(chan struct{})}, messages...)
+	s.logRead(cut.Revision, s.decoding, s.clock.Now().Sub(posted))
+	s.decoding = 0
 }
 
 // base returns the newest cut that the node knows.
@@ -127,5 +131,8 @@
 	if err != nil {
 		return err
 	}
-	return a.Read(s.config.Parse(v.Key, v.Revision, v.Text, false))
+	begin := s.clock.Now()
+	subtree := s.config.Parse(v.Key, v.Revision, v.Text, false)
+	s.decoding += max(s.clock.Now().Sub(begin), 1)
+	return a.Read(subtree)
 }
--- /dev/null
+++ b/internal/service/source/observe.go
@@ -0,0 +1,104 @@
+package source
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/kernel"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// largeAnswer is the size in bytes from which an answer is logged: smaller ones
+// carry no configuration of any size.
+const largeAnswer = 32 << 10
+
+// transferBuckets resolve the bound of seconds for a change of the configuration.
+var transferBuckets = tally.DurationBuckets{
+	10 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond,
+	500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second,
+}
+
+// observable is a client of the platform that reports its calls.
+type observable interface {
+	Observe(observer func(Call))
+}
+
+type metrics interface {
+	Scope() tally.Scope
+}
+
+// callMetrics are nil without a metrics service.
+type callMetrics struct {
+	calls, failures, bytes tally.Counter
+	transfer               tally.Histogram
+}
+
+// observePlatform has the calls to the platform logged and counted.
+func (s *Service) observePlatform(c *kernel.Context) {
+	client, ok := s.config.Platform.(observable)
+	if !ok {
+		return
+	}
+	var counted *callMetrics
+	if m, err := kernel.Find[metrics](c, control.Metrics); err == nil {
+		scope := m.Scope()
+		counted = &callMetrics{
+			calls:    scope.Counter("platform_calls"),
+			failures: scope.Counter("platform_call_failures"),
+			bytes:    scope.Counter("platform_received_bytes"),
+			transfer: scope.Histogram("platform_answer_duration", transferBuckets),
+		}
+	}
+	client.Observe(func(call Call) {
+		if counted != nil {
+			counted.add(call)
+		}
+		s.logCall(call)
+	})
+}
+
+func (m *callMetrics) add(call Call) {
+	m.calls.Inc(1)
+	m.bytes.Inc(call.Bytes)
+	if call.Err != nil {
+		m.failures.Inc(1)
+	}
+	if !call.Answered.IsZero() {
+		m.transfer.RecordDuration(call.Ended.Sub(call.Answered))
+	}
+}
+
+// logCall writes a line for a call that failed or that may have brought a
+// configuration. The others are counted only.
+func (s *Service) logCall(call Call) {
+	failed := call.Err != nil && !errors.Is(call.Err, context.Canceled)
+	if !failed && call.Bytes < largeAnswer {
+		return
+	}
+	args := []any{"path", call.Path, "bytes", call.Bytes}
+	if call.Answered.IsZero() {
+		args = append(args, "waited_ms", call.Ended.Sub(call.Asked).Milliseconds())
+	} else {
+		args = append(args, "waited_ms", call.Answered.Sub(call.Asked).Milliseconds(),
+			"transfer_ms", call.Ended.Sub(call.Answered).Milliseconds())
+	}
+	if failed {
+		s.log.Info("call to the platform failed", append(args, "error", call.Err)...)
+		return
+	}
+	s.log.Info("large answer of the platform", args...)
+}
+
+// logRead writes a line for a cut with values that were read anew: how long
+// they took to decode, and how long the control loop took to handle the cut.
+func (s *Service) logRead(revision model.Revision, decoding, handling time.Duration) {
+	if decoding == 0 {
+		return
+	}
+	s.log.Info("configuration read", "revision", revision,
+		"decode_ms", decoding.Milliseconds(), "control_loop_ms", handling.Milliseconds())
+}
--- a/internal/service/source/source.go
+++ b/internal/service/source/source.go
@@ -112,6 +112,9 @@
 	instancesSeen model.Revision
 	// lapses belongs to the same goroutine.
 	lapses reading.Lapses
+	// decoding is the time spent on values since the last cut. It belongs to the
+	// goroutine that watches the keys.
+	decoding time.Duration
 }
 
 // order is what the I/O goroutines have to read.
@@ -161,6 +164,7 @@
 		return err
 	}
 	s.states, s.members = config.Configuration(), membership.View()
+	s.observePlatform(c)
 	kernel.Subscribe(c.Loop, s.handleScope)
 	kernel.Subscribe(c.Loop, s.handlePaused)
 	kernel.Subscribe(c.Loop, s.handleRead)
