Follow nodes with fast links for the configuration where the own link is thin

What callers saw: on the grown sites nodes beside upload servers answered 404 for routes confirmed 2.5 to 5 s before, or sent requests by an older version.

Cause: every version of the configuration was sent whole to every node, 0.26 MB and more, so the cost of a change followed the size of the configuration. Uploads fill links of 7 Mbit/s, and the transfer took up to 4.3 s; a stall of 0.75 s began it again.

Asking late adds to it: a watch behind a slow one brings up to three versions whole.

Change: a node whose link does not bring the whole configuration in 0.1 s watches the servers only and polls two nodes that read the platform, own failure domain first; they answer with the leaves that changed. A peer says with each answer whether the platform answers it. While none of the two is in contact, the node reads the platform itself at once.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -129,6 +129,18 @@
 	ReadAll
 )
 
+// String returns the name used in logs.
+func (s ReadScope) String() string {
+	switch s {
+	case ReadInstances:
+		return "instances"
+	case ReadAll:
+		return "all"
+	default:
+		return "nothing"
+	}
+}
+
 // ReadScopeChanged tells what this node should read from the platform.
 // Emitted by exchange, handled by source.
 type ReadScopeChanged struct {
@@ -136,6 +148,8 @@
 	// Place is the number of readers of the failure domain that read before
 	// this one.
 	Place int
+	// Followed is true if other nodes rely on this one to read.
+	Followed bool
 }
 
 // MessageName implements kernel.Message.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/logging"
 	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/service/exchange"
 	"github.com/galenalever/galenalever/internal/service/source"
 	"github.com/galenalever/galenalever/internal/settings"
 )
@@ -64,6 +65,9 @@
 	Headers frontend.Headers
 	// Pacing bounds the calls to the platform; source.DefaultPacing if zero.
 	Pacing source.Pacing
+	// PollTimes are the times of polls between nodes; exchange.DefaultTimes if
+	// zero.
+	PollTimes exchange.Times
 	// RetryLimits bound the retries over all nodes; none if zero.
 	RetryLimits retry.Limits
 	// Reload is called after SIGHUP with signalled set, and now and then without,
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -24,6 +24,9 @@
 	"github.com/galenalever/galenalever/internal/settings"
 )
 
+// bitsInMegabit converts the setting of the bandwidth.
+const bitsInMegabit = 1e6
+
 // services returns the services of a node in start order. They stop in the
 // reverse order, so what takes requests comes last: first callers, then other
 // nodes, then the exchange that tells peers that the instance is gone.
@@ -51,6 +54,8 @@
 			BootstrapFor: d.BootstrapFor,
 			RandomSeed:   seed,
 			Direct:       d.Direct,
+			Bandwidth:    d.Bandwidth * bitsInMegabit,
+			Times:        where.PollTimes,
 		}),
 		routing.New(),
 		balancer.New(balancer.Config{Self: self, Policy: balance.Policy(d.Balancer)}),
--- /dev/null
+++ b/internal/decision/rank/follow.go
@@ -0,0 +1,79 @@
+package rank
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/decision/members"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// Followed is the number of nodes that a node follows whose link does not carry
+// the configuration. With two, one that fails costs no time.
+const Followed = 2
+
+// directTransfer is the longest time that reading the whole configuration may
+// take on an idle link. Requests that use nine tenths of the link make it ten
+// times as long, which is still less than the seconds that a change may take.
+const directTransfer = 100 * time.Millisecond
+
+// Carries reports whether a link can bring each version of a configuration whole.
+// The bandwidth is in bits a second, 0 for a link without a limit.
+func Carries(bandwidth float64, configurationBytes int) bool {
+	return bandwidth == 0 || 8*float64(configurationBytes) <= bandwidth*directTransfer.Seconds()
+}
+
+// Follow returns which nodes a node polls for the configuration, at most one for
+// each place. A node that is polled keeps its place while it is able. The others
+// are chosen first from the own failure domain and in an order that differs from
+// node to node, which spreads the load. A place that none can take holds a member
+// without an ID.
+func Follow(view *members.View, self model.Self, current [Followed]model.InstanceID, seen Evidence) [Followed]model.Member {
+	var out [Followed]model.Member
+	taken := map[string]bool{self.Addresses.Control: true}
+	able := func(m *model.Member) bool {
+		return m.Present() && m.Addresses.Control != "" && !taken[m.Addresses.Control] && !seen.Silent(m.ID) && !seen.Busy(m.ID)
+	}
+	vacant := 0
+	for i, id := range current {
+		if m, ok := view.Get(id); ok && able(&m) {
+			out[i] = m
+			taken[m.Addresses.Control] = true
+		} else {
+			vacant++
+		}
+	}
+	if vacant == 0 {
+		return out
+	}
+	for _, m := range byPreference(view, self) {
+		i := slices.IndexFunc(out[:], func(o model.Member) bool { return o.ID == "" })
+		if i < 0 {
+			break
+		}
+		if able(&m) {
+			out[i] = m
+			taken[m.Addresses.Control] = true
+		}
+	}
+	return out
+}
+
+// byPreference returns all members, those of the own failure domain first.
+func byPreference(view *members.View, self model.Self) []model.Member {
+	list := view.All()
+	preference := func(m model.Member) uint64 {
+		return members.Hash(self.ID + "|" + model.InstanceID(m.Addresses.Control))
+	}
+	distance := func(m model.Member) int {
+		if m.Domain == self.Domain {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(list, func(a, b model.Member) int {
+		return cmp.Or(cmp.Compare(distance(a), distance(b)), cmp.Compare(preference(a), preference(b)), cmp.Compare(a.ID, b.ID))
+	})
+	return list
+}
--- /dev/null
+++ b/internal/decision/rank/follow_test.go
@@ -0,0 +1,89 @@
+package rank_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/galenalever/galenalever/internal/decision/members"
+	"github.com/galenalever/galenalever/internal/decision/rank"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+func listed(i int, domain model.FailureDomain) model.Member {
+	m := self(i).Member(model.PresenceUnknown)
+	m.Announced, m.Domain, m.Listed = model.Announcement{}, domain, model.ListingLive
+	return m
+}
+
+func TestLinkCarriesAConfiguration(t *testing.T) {
+	for _, test := range []struct {
+		bandwidth float64
+		bytes     int
+		want      bool
+	}{
+		{0, 1 << 30, true},
+		{1e9, 60_000, true},
+		{140e6, 250_000, true},
+		{7e6, 250_000, false},
+		{7e6, 20_000, true},
+		{140e6, 10_000_000, false}, // 3,400 services
+	} {
+		if got := rank.Carries(test.bandwidth, test.bytes); got != test.want {
+			t.Errorf("%g bit/s, %d bytes: %t", test.bandwidth, test.bytes, got)
+		}
+	}
+}
+
+// TestFollowKeepsAbleNodesAndReplacesOthers checks that a place keeps its node
+// while it is able, and that the own failure domain goes first.
+func TestFollowKeepsAbleNodesAndReplacesOthers(t *testing.T) {
+	view := members.New(1)
+	for i := range 8 {
+		view, _ = view.With(listed(i, "jkt"))
+	}
+	view, _ = view.With(listed(8, "smg"), listed(9, "smg"))
+	me := self(0)
+	var none [rank.Followed]model.InstanceID
+	first := rank.Follow(view, me, none, rank.Healthy())
+	for _, m := range first {
+		if m.Domain != "jkt" || m.ID == me.ID {
+			t.Fatalf("follows %+v", m)
+		}
+	}
+	if first[0].ID == first[1].ID {
+		t.Fatalf("follows %s twice", first[0].ID)
+	}
+	current := [rank.Followed]model.InstanceID{first[0].ID, first[1].ID}
+	silent := rank.Evidence{Silent: func(id model.InstanceID) bool { return id == first[0].ID }, Busy: rank.None}
+	next := rank.Follow(view, me, current, silent)
+	if next[1].ID != first[1].ID || next[0].ID == first[0].ID || next[0].ID == "" {
+		t.Errorf("after %s is silent: %s and %s", first[0].ID, next[0].ID, next[1].ID)
+	}
+	away := rank.Evidence{Silent: func(id model.InstanceID) bool { m, _ := view.Get(id); return m.Domain == "jkt" }, Busy: rank.None}
+	for _, m := range rank.Follow(view, me, current, away) {
+		if m.Domain != "smg" {
+			t.Errorf("without the own domain it follows %q", m.ID)
+		}
+	}
+}
+
+// TestFollowersSpreadOverNodes checks that not all nodes choose the same ones.
+func TestFollowersSpreadOverNodes(t *testing.T) {
+	view := members.New(1)
+	for i := range 20 {
+		view, _ = view.With(listed(i, "jkt"))
+	}
+	chosen := map[model.InstanceID]int{}
+	for i := range 60 {
+		me := self(i)
+		me.ID = model.InstanceID(fmt.Sprint("node-", i))
+		for _, m := range rank.Follow(view, me, [rank.Followed]model.InstanceID{}, rank.Healthy()) {
+			chosen[m.ID]++
+		}
+	}
+	for id, n := range chosen {
+		if n > 20 {
+			t.Errorf("%s is followed by %d of 60", id, n)
+		}
+	}
+}
--- a/internal/kernel/snapshot.go
+++ b/internal/kernel/snapshot.go
@@ -1,6 +1,9 @@
 package kernel
 
-import "sync/atomic"
+import (
+	"context"
+	"sync/atomic"
+)
 
 // Snapshot hands out the current immutable value of some control state. The
 // control goroutine stores; any goroutine loads or watches without locks.
@@ -30,6 +33,18 @@
 	return v.value, v.changed
 }
 
+// AwaitWhile returns when hold is false for the current value, or when the
+// context ends, with the context's error.
+func (s *Snapshot[T]) AwaitWhile(ctx context.Context, hold func(T) bool) error {
+	for {
+		value, changed := s.Watch()
+		if !hold(value) || ctx.Err() != nil {
+			return ctx.Err()
+		}
+		_ = Await(ctx, changed) // the loop checks the context
+	}
+}
+
 // Store publishes a new value and wakes the watchers. Only the owner, on the
 // control goroutine, may call it.
 func (s *Snapshot[T]) Store(value T) {
--- a/internal/service/exchange/exchange.go
+++ b/internal/service/exchange/exchange.go
@@ -40,11 +40,31 @@
 	BootstrapFor time.Duration
 	// RandomSeed varies jitter and random choices between processes.
 	RandomSeed uint64
-	// Direct is true if every node reads the platform itself. The service then
-	// asks and tells other nodes nothing, but it answers them.
+	// Direct is true if every node reads the list of instances itself, and the
+	// configuration too if its link carries it. Other nodes follow such nodes for
+	// the configuration. The service announces nothing then.
 	Direct bool
+	// Bandwidth is that of the node's link in bits a second; 0 means no limit.
+	Bandwidth float64
+	// Times are DefaultTimes if they are zero.
+	Times Times
 }
 
+// Times are the times of polls.
+type Times struct {
+	// Wait is how long an upstream holds an answer back when there is nothing
+	// new. It bounds how late a silent upstream is noticed.
+	Wait time.Duration
+	// Margin is the time beyond the wait after which a poll has failed.
+	Margin time.Duration
+	// Coalesce is how long an answer waits after the first news, so that changes
+	// which come together travel together.
+	Coalesce time.Duration
+}
+
+// DefaultTimes suit a large mesh with a bound of seconds for changes.
+var DefaultTimes = Times{Wait: 4 * time.Second, Margin: 1500 * time.Millisecond, Coalesce: 250 * time.Millisecond}
+
 // The small interfaces of the partners that the service finds by name.
 type (
 	configurations interface {
@@ -63,6 +83,10 @@
 	metrics interface {
 		Scope() tally.Scope
 	}
+	// platformReader is the service that reads the platform.
+	platformReader interface {
+		Contact() model.PlatformContact
+	}
 	statusPage interface {
 		AddStatus(section string, f func() any)
 	}
@@ -70,13 +94,15 @@
 
 // Service exchanges state with other nodes.
 type Service struct {
-	config    Config
-	clock     clock.Clock
-	loop      *kernel.Loop
-	log       *slog.Logger
-	timeline  recorder
-	watchdog  freshness
-	suspects  suspectHandler
+	config   Config
+	clock    clock.Clock
+	loop     *kernel.Loop
+	log      *slog.Logger
+	timeline recorder
+	watchdog freshness
+	suspects suspectHandler
+	// source is nil in a node that never reads the platform.
+	source    platformReader
 	states    *kernel.Snapshot[*model.Configuration]
 	members   *kernel.Snapshot[*members.View]
 	dial      func(address string) wire.Exchange
@@ -101,6 +127,9 @@
 
 // New returns the service.
 func New(c Config) *Service {
+	if c.Times == (Times{}) {
+		c.Times = DefaultTimes
+	}
 	s := &Service{
 		config:       c,
 		cursors:      newCursors(),
@@ -172,6 +201,9 @@
 	if page, err := kernel.Find[statusPage](c, control.Operator); err == nil {
 		page.AddStatus(control.Exchange, s.status)
 	}
+	if reader, err := kernel.Find[platformReader](c, control.Source); err == nil {
+		s.source = reader
+	}
 	if handler, err := kernel.Find[suspectHandler](c, control.Quarantine); err == nil {
 		s.suspects = handler
 	}
@@ -183,12 +215,14 @@
 		s.serve()
 	}
 	ctx, s.cancel = context.WithCancel(ctx)
+	for place := range rank.Followed {
+		s.tasks.Go(func() { s.runPoller(ctx, place) })
+	}
 	if s.config.Direct {
 		return s.loop.Post(ctx, replan{})
 	}
 	s.outbox.start(ctx)
 	s.tasks.Go(func() { s.runBootstrap(ctx) })
-	s.tasks.Go(func() { s.runPoller(ctx) })
 	s.tasks.Go(func() { s.runCompare(ctx) })
 	return s.loop.Post(ctx, reannounce{})
 }
--- a/internal/service/exchange/planner.go
+++ b/internal/service/exchange/planner.go
@@ -38,9 +38,12 @@
 
 // role is what the I/O goroutines do. It is published as a snapshot.
 type role struct {
-	reader   bool
-	upstream peer
-	scope    control.ReadScope
+	reader bool
+	// upstreams are the nodes to poll; in the tree only the first place is used.
+	upstreams [rank.Followed]peer
+	scope     control.ReadScope
+	// followed is true while others rely on this node to read the platform.
+	followed bool
 	// place is the number of readers that come before this one.
 	place int
 	// round grows with every pause; what was asked in an earlier round proves
@@ -48,6 +51,11 @@
 	round uint64
 }
 
+// sameAt returns whether another role has the same work for the poller of a place.
+func (r role) sameAt(place int) func(role) bool {
+	return func(other role) bool { return other.upstreams[place] == r.upstreams[place] && other.round == r.round }
+}
+
 // planner is the control state of the service. Only handlers on the control
 // loop touch it.
 type planner struct {
@@ -65,6 +73,8 @@
 	planned bool
 	// pending holds own records that found no destination yet.
 	pending map[model.InstanceID]model.Member
+	// following is the control state of a node that reads directly or follows.
+	following following
 }
 
 // replan is the message that has the role decided anew.
@@ -94,6 +104,7 @@
 	kernel.Subscribe(loop, s.handleUndelivered)
 	kernel.Subscribe(loop, s.handleResend)
 	kernel.Subscribe(loop, func(reannounce) { s.handleReannounce() })
+	kernel.Subscribe(loop, func(followed) { s.handleFollowed() })
 }
 
 // repair is what the next poll asks for whole because deltas failed their
@@ -112,6 +123,9 @@
 	if r := s.repair.Load(); r.all || len(r.keys) > 0 {
 		s.repair.Store(repair{})
 	}
+	if s.config.Direct {
+		s.measure(m.Configuration)
+	}
 	if !s.planner.configured && m.Configuration.Cut.Revision > 0 {
 		s.planner.configured = true
 		s.decide()
@@ -120,6 +134,7 @@
 
 func (s *Service) handleMembersChanged(m control.MembersChanged) {
 	if s.config.Direct {
+		s.scheduleReplan(replanDelay)
 		return
 	}
 	for _, changed := range m.Changed {
@@ -168,7 +183,7 @@
 	next := role{round: old.round}
 	switch {
 	case s.config.Direct:
-		next.scope = control.ReadAll
+		s.assignDirect(&next, old)
 	case s.planner.configured || s.planner.mayRead:
 		s.assign(&next, old)
 	}
@@ -176,11 +191,11 @@
 		return
 	}
 	s.role.Store(next)
-	if next.upstream != old.upstream {
-		s.timeline.Record(timeline.KindUpstreamChanged, next.upstream.name())
+	if next.upstreams[0] != old.upstreams[0] && !s.config.Direct {
+		s.timeline.Record(timeline.KindUpstreamChanged, next.upstreams[0].name())
 	}
-	if next.scope != old.scope || next.place != old.place {
-		s.loop.Emit(control.ReadScopeChanged{Scope: next.scope, Place: next.place})
+	if next.scope != old.scope || next.place != old.place || next.followed != old.followed {
+		s.loop.Emit(control.ReadScopeChanged{Scope: next.scope, Place: next.place, Followed: next.followed})
 	}
 }
 
@@ -189,9 +204,9 @@
 		next.scope = control.ReadInstances
 		return
 	}
-	decided := rank.Decide(s.members.Load(), s.config.Self, old.upstream.id, s.evidence())
+	decided := rank.Decide(s.members.Load(), s.config.Self, old.upstreams[0].id, s.evidence())
 	next.reader, next.place = decided.Reader, decided.Place
-	next.upstream = peerOf(decided.Upstream)
+	next.upstreams[0] = peerOf(decided.Upstream)
 	if decided.Reader || s.planner.failures >= orphanAfter {
 		next.scope = control.ReadAll
 	}
--- a/internal/service/exchange/poller.go
+++ b/internal/service/exchange/poller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/galenalever/galenalever/internal/clock"
@@ -11,12 +12,7 @@
 )
 
 const (
-	// pollWait is how long an upstream holds an answer back when there is
-	// nothing new. It bounds how late a silent upstream is noticed.
-	pollWait = 4 * time.Second
-	// pollMargin is the time beyond the wait after which a poll has failed.
-	pollMargin = 1500 * time.Millisecond
-	// transferMargin replaces pollMargin when the complete state is asked for.
+	// transferMargin replaces the margin of a poll when the complete state is asked for.
 	transferMargin = 5 * time.Second
 	// minPollInterval is the least time between two answers.
 	minPollInterval = 100 * time.Millisecond
@@ -28,22 +24,23 @@
 // that failed in a row.
 var changePolicy = backoff.Policy{Base: 50 * time.Millisecond, Max: time.Second}
 
-// runPoller polls the upstream of the current role until the context ends.
-func (s *Service) runPoller(ctx context.Context) {
-	rng := s.random("poller")
+// runPoller polls the upstream at one place of the current role until the context
+// ends.
+func (s *Service) runPoller(ctx context.Context, place int) {
+	rng := s.random(fmt.Sprint("poller ", place))
 	failures := 0
 	for ctx.Err() == nil {
 		role, changed := s.role.Watch()
-		if role.upstream.address == "" {
+		if role.upstreams[place].address == "" {
 			_ = kernel.Await(ctx, changed)
 			continue
 		}
 		roleCtx, cancel := context.WithCancel(ctx)
 		s.tasks.Go(func() {
 			defer cancel()
-			_ = kernel.Await(roleCtx, changed)
+			_ = s.role.AwaitWhile(roleCtx, role.sameAt(place))
 		})
-		answered := s.follow(roleCtx, role)
+		answered := s.follow(roleCtx, role, place)
 		cancel()
 		if answered {
 			failures = 0
@@ -57,19 +54,20 @@
 // follow polls one upstream until the role changes, and reports whether the
 // upstream has answered. The first poll is answered at once, so that the node
 // knows soon that it is up to date.
-func (s *Service) follow(ctx context.Context, r role) (answered bool) {
-	ask := question{round: r.round}
+func (s *Service) follow(ctx context.Context, r role, place int) (answered bool) {
+	upstream := r.upstreams[place]
+	ask := question{round: r.round, place: place, configurationOnly: s.config.Direct}
 	for ctx.Err() == nil {
 		ask.bootstrap = !s.hasConfiguration()
-		err := s.poll(ctx, r.upstream, ask)
+		err := s.poll(ctx, upstream, ask)
 		switch {
 		case ctx.Err() != nil:
 			return answered
 		case err != nil:
-			s.reportFailure(ctx, r.upstream, err)
+			s.reportFailure(ctx, upstream, err)
 		default:
 			answered = true
-			ask.wait = pollWait
+			ask.wait = s.config.Times.Wait
 			_ = clock.Wait(ctx, s.clock, minPollInterval)
 		}
 	}
--- a/internal/service/exchange/question.go
+++ b/internal/service/exchange/question.go
@@ -22,15 +22,19 @@
 	// compare has the members compared by their digests; no place in the
 	// peer's log is remembered.
 	compare bool
+	// configurationOnly leaves out the members.
+	configurationOnly bool
+	// place is that of the upstream in the role.
+	place int
 	// round is the round of the role in which the question is asked.
 	round uint64
 }
 
-func (q question) timeout(request *wire.PollRequest) time.Duration {
+func (q question) timeout(request *wire.PollRequest, margin time.Duration) time.Duration {
 	if request.GetCutRevision() == 0 {
-		return q.wait + transferMargin
+		margin = transferMargin
 	}
-	return q.wait + pollMargin
+	return q.wait + margin
 }
 
 // refusedError is the answer of a peer that cannot serve now.
@@ -53,7 +57,7 @@
 
 // call makes one poll.
 func (s *Service) call(ctx context.Context, p peer, ask question, request *wire.PollRequest) (*wire.PollResponse, error) {
-	ctx, cancel := clock.WithTimeout(ctx, s.clock, ask.timeout(request))
+	ctx, cancel := clock.WithTimeout(ctx, s.clock, ask.timeout(request, s.config.Times.Margin))
 	defer cancel()
 	response, err := s.dial(p.address).Poll(ctx, request)
 	if err != nil {
@@ -72,6 +76,10 @@
 	}
 	s.setBase(request, ask)
 	s.setRunning(request, ask)
+	if ask.configurationOnly {
+		request.ConfigurationOnly = true
+		return request
+	}
 	if ask.bootstrap {
 		return request
 	}
@@ -119,11 +127,17 @@
 	if delta.Revision > model.Revision(request.GetCutRevision()) || ask.bootstrap || len(delta.Running) > 0 {
 		messages = append(messages, control.DeltaReceived{From: origin, Delta: delta})
 	}
-	done := pollDone{from: p, round: ask.round, handled: make(chan struct{})}
+	if len(delta.Subtrees) > 0 {
+		s.log.Info("configuration received", "peer", p.name(), "revision", delta.Revision, "base", request.GetCutRevision())
+	}
+	done := pollDone{
+		from: p, place: ask.place, round: ask.round,
+		contact: wireconv.ContactFromWire(response.GetContact()), handled: make(chan struct{}),
+	}
 	if err := s.loop.PostAndWait(ctx, done.handled, append(messages, done)...); err != nil {
 		return err
 	}
-	if !ask.compare {
+	if !ask.compare && !ask.configurationOnly {
 		s.cursors.set(p.address, members.Cursor{Epoch: response.GetMemberEpoch(), Position: response.GetMemberPosition()})
 	}
 	return nil
--- a/internal/service/exchange/results.go
+++ b/internal/service/exchange/results.go
@@ -4,13 +4,18 @@
 	"time"
 
 	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
 )
 
 // pollDone tells the control loop that a peer's answer was posted before it.
 type pollDone struct {
-	from  peer
+	from peer
+	// place is that of the peer in the role.
+	place int
 	round uint64
+	// contact tells where the peer gets its configuration.
+	contact model.PlatformContact
 	// handled is closed when the messages of the answer have been handled.
 	handled chan struct{}
 }
@@ -40,6 +45,9 @@
 
 func (s *Service) handlePollDone(m pollDone) {
 	defer close(m.handled)
+	if s.config.Direct && !s.keepFollowing(m) {
+		return
+	}
 	s.planner.exclusions.Restore(m.from.id)
 	if s.planner.failures >= orphanAfter {
 		s.scheduleReplan(replanDelay)
@@ -54,6 +62,7 @@
 // handlePollFailed excludes a peer for a time and decides whom to poll instead.
 func (s *Service) handlePollFailed(m pollFailed) {
 	defer close(m.handled)
+	s.stopFollowing(m.peer)
 	now := s.clock.Now()
 	until := now.Add(m.retryAfter)
 	if m.retryAfter > 0 {
--- a/internal/service/exchange/server.go
+++ b/internal/service/exchange/server.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// coalesceDelay is how long an answer waits after the first news, so that
-	// changes which come together travel together.
-	coalesceDelay = 250 * time.Millisecond
 	// maxHold bounds how long a poll is held back, whatever the caller asks.
 	maxHold = 30 * time.Second
 	// maxTransfers is the number of complete states sent at a time.
@@ -43,6 +40,9 @@
 	}
 	defer s.polls.release()
 	asked := parseQuery(request)
+	if asked.configurationOnly {
+		s.loop.TryPost(followed{}) // the next poll tells it again
+	}
 	if asked.complete() {
 		if !s.transfers.tryAcquire() {
 			return s.refusal(asked.from), nil
@@ -63,6 +63,8 @@
 	digests   []uint64
 	wait      time.Duration
 	bootstrap bool
+	// configurationOnly leaves out the members.
+	configurationOnly bool
 }
 
 func parseQuery(request *wire.PollRequest) query {
@@ -76,6 +78,8 @@
 		digests:   request.GetMemberBuckets(),
 		wait:      min(wait, maxHold),
 		bootstrap: request.GetBootstrap(),
+
+		configurationOnly: request.GetConfigurationOnly(),
 	}
 }
 
@@ -110,7 +114,7 @@
 		case <-ctx.Done():
 			return nil, twirp.NewError(twirp.Canceled, ctx.Err().Error())
 		}
-		_ = clock.Wait(ctx, s.clock, coalesceDelay)
+		_ = clock.Wait(ctx, s.clock, s.config.Times.Coalesce)
 	}
 }
 
@@ -118,14 +122,19 @@
 	if q.bootstrap || len(q.whole) > 0 || state.Cut.Revision > q.base {
 		return true
 	}
-	return view.Cursor() != q.cursor
+	return !q.configurationOnly && view.Cursor() != q.cursor
 }
 
 // answer tells the caller what it lacks.
 func (s *Service) answer(state *model.Configuration, view *members.View, q query) *wire.PollResponse {
 	response := &wire.PollResponse{Time: uint64(s.timeline.Clock().Now())}
 	wireconv.SetDelta(response, s.configurationDelta(state, q))
-	s.addMembers(response, view, q)
+	if s.source != nil {
+		response.Contact = wireconv.ContactToWire(s.source.Contact())
+	}
+	if !q.configurationOnly {
+		s.addMembers(response, view, q)
+	}
 	return response
 }
 
--- a/internal/service/exchange/status.go
+++ b/internal/service/exchange/status.go
@@ -6,6 +6,8 @@
 type Status struct {
 	Reader   bool             `json:"reader"`
 	Upstream model.InstanceID `json:"upstream,omitempty"`
+	// Second is the other node that is followed, if there are two.
+	Second   model.InstanceID `json:"second_upstream,omitempty"`
 	Fresh    bool             `json:"fresh"`
 	Members  int              `json:"members"`
 	Received uint64           `json:"received_bytes"`
@@ -18,7 +20,8 @@
 	received, sent := s.ControlBytes()
 	return Status{
 		Reader:   role.reader,
-		Upstream: role.upstream.id,
+		Upstream: role.upstreams[0].id,
+		Second:   role.upstreams[1].id,
 		Fresh:    s.watchdog.Fresh(),
 		Members:  s.members.Load().Len(),
 		Received: received,
--- a/internal/service/source/instances.go
+++ b/internal/service/source/instances.go
@@ -30,7 +30,7 @@
 			s.lapses.Regained(now)
 		}
 		retry.succeeded()
-		wait = s.config.Pacing.WatchWait
+		wait = s.watchWait()
 		s.postMembers(ctx, s.withoutLapsed(received, now), current)
 		s.pace(ctx)
 	}
--- a/internal/service/source/keys.go
+++ b/internal/service/source/keys.go
@@ -22,14 +22,16 @@
 			assembler = reading.NewAssembler(base)
 		}
 		if err := s.assemble(ctx, assembler, wait); err != nil {
+			s.answered.Store(false)
 			retry.failed(ctx, err)
 			continue
 		}
 		retry.succeeded()
+		s.answered.Store(true)
 		s.postCut(ctx, assembler, current)
 		s.pace(ctx)
 		assembler = reading.NewAssembler(s.base())
-		wait = s.config.Pacing.WatchWait
+		wait = s.watchWait()
 	}
 }
 
--- a/internal/service/source/source.go
+++ b/internal/service/source/source.go
@@ -35,6 +35,13 @@
 	// LongestRetryAfter bounds the further delay that the platform can ask for:
 	// it cannot know how soon a node must be current again.
 	LongestRetryAfter time.Duration
+	// FollowedWait is how long a listing is held back while other nodes rely on
+	// this one. It bounds how late they learn that the platform is out of its
+	// reach.
+	FollowedWait time.Duration
+	// Settle bounds the random delay, for each place, before a node that became
+	// a reader makes its first call.
+	Settle time.Duration
 }
 
 // DefaultPacing suits a platform that few nodes of many read.
@@ -44,16 +51,16 @@
 	Retry:        backoff.Policy{Base: 3 * time.Second, Max: 30 * time.Second},
 
 	LongestRetryAfter: time.Minute,
+
+	FollowedWait: 30 * time.Second,
+	// In a storm of restarts many nodes are readers for a moment.
+	Settle: 2 * time.Second,
 }
 
 const (
 	// placeDelay is how long a reader leaves changed values to each reader that
 	// comes before it.
 	placeDelay = 750 * time.Millisecond
-	// settleTime bounds the random delay, for each place, before a node that
-	// became a reader makes its first call. In a storm of restarts many nodes
-	// are readers for a moment.
-	settleTime = 2 * time.Second
 	// callRate and callBurst bound the calls of one process. The readers of 11
 	// failure domains together stay below 700 calls a second.
 	callRate  = rate.Limit(20)
@@ -100,10 +107,14 @@
 	// order and place are written on the control loop.
 	order *kernel.Snapshot[order]
 	// place is the number of readers that read before this one.
-	place   atomic.Int64
-	limiter *rate.Limiter
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
+	place atomic.Int64
+	// followed is true while other nodes rely on this one.
+	followed atomic.Bool
+	// answered is true if the last listing of keys succeeded.
+	answered atomic.Bool
+	limiter  *rate.Limiter
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
 	// confirmed tells which listings were current in the present round. It is
 	// touched on the control loop only.
 	confirmed map[listing]bool
@@ -189,14 +200,46 @@
 func (s *Service) handleScope(m control.ReadScopeChanged) {
 	old := s.order.Load()
 	s.place.Store(int64(m.Place))
+	s.followed.Store(m.Followed)
 	if m.Scope == old.scope {
 		return
 	}
 	s.order.Store(order{scope: m.Scope, round: old.round})
+	if client, ok := s.config.Platform.(scoped); ok {
+		client.ReadKeys(m.Scope >= control.ReadAll)
+	}
 	s.recordScope(old.scope, m.Scope)
 }
 
+// scoped is a client of the platform that reads less while no keys are listed.
+type scoped interface {
+	// ReadKeys does not block.
+	ReadKeys(wanted bool)
+}
+
+// Contact tells where this node gets its configuration. Any goroutine may call
+// it.
+func (s *Service) Contact() model.PlatformContact {
+	switch {
+	case s.order.Load().scope < control.ReadAll:
+		return model.ContactNone
+	case !s.answered.Load():
+		return model.ContactLost
+	default:
+		return model.ContactCurrent
+	}
+}
+
+// watchWait returns how long a listing without news is held back.
+func (s *Service) watchWait() time.Duration {
+	if s.followed.Load() {
+		return s.config.Pacing.FollowedWait
+	}
+	return s.config.Pacing.WatchWait
+}
+
 func (s *Service) recordScope(old, next control.ReadScope) {
+	s.log.Info("scope of reading the platform changed", "from", old.String(), "to", next.String())
 	switch {
 	case old == control.ReadNothing:
 		s.timeline.Record(timeline.KindSourceStarted, "")
@@ -237,7 +280,7 @@
 }
 
 // run calls watch whenever the scope includes need, until the context ends.
-// The context of watch ends when the order changes.
+// The context of watch ends when the order excludes need or has a new round.
 func (s *Service) run(ctx context.Context, need control.ReadScope, purpose string, watch func(context.Context, *retrier, order)) {
 	rng := s.random(purpose)
 	retry := &retrier{service: s, purpose: purpose, rng: rng}
@@ -250,7 +293,7 @@
 		orderCtx, cancel := context.WithCancel(ctx)
 		s.tasks.Go(func() {
 			defer cancel()
-			_ = kernel.Await(orderCtx, changed)
+			_ = s.order.AwaitWhile(orderCtx, func(o order) bool { return o.scope >= need && o.round == current.round })
 		})
 		s.settle(orderCtx, rng)
 		watch(orderCtx, retry, current)
@@ -264,7 +307,7 @@
 	if s.base().Revision == 0 {
 		return
 	}
-	spread := time.Duration(1+s.place.Load()) * settleTime
+	spread := time.Duration(1+s.place.Load()) * s.config.Pacing.Settle
 	_ = clock.Wait(ctx, s.clock, time.Duration(rng.Int64N(int64(spread))))
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,7 +29,8 @@
 
 	Platform     string        `help:"URL of the platform's configuration service." env:"GALENA_PLATFORM" required:""`
 	Peers        []string      `help:"Control addresses of nodes to ask first." env:"GALENA_PEERS" name:"peer"`
-	Direct       bool          `help:"Read the platform on every node, and announce nothing to other nodes." env:"GALENA_DIRECT"`
+	Direct       bool          `help:"Read the platform on every node whose link carries the configuration, let the others follow these, and announce nothing to other nodes." env:"GALENA_DIRECT"`
+	Bandwidth    float64       `help:"Bandwidth of the node's link in Mbit/s; 0 means no limit." env:"GALENA_BANDWIDTH" default:"0"`
 	MaxStale     time.Duration `help:"How long after a pause the node refuses requests if it cannot synchronise; 0 means until it can." env:"GALENA_MAX_STALE" default:"0s"`
 	BootstrapFor time.Duration `help:"How long a fresh process asks peers before it reads the platform itself." env:"GALENA_BOOTSTRAP_FOR" default:"2s"`
 
@@ -87,6 +88,9 @@
 	checkOptionalAddress(&list, "--advertise-traffic", d.AdvertiseTraffic)
 	checkOptionalAddress(&list, "--advertise-control", d.AdvertiseControl)
 	checkOptionalAddress(&list, "--advertise-operator", d.AdvertiseOperator)
+	if d.Bandwidth < 0 {
+		list.Addf(flag("--bandwidth"), "%g is negative", d.Bandwidth)
+	}
 	if d.GarbagePercent < 0 {
 		list.Addf(flag("--garbage-percent"), "%d is negative", d.GarbagePercent)
 	}
--- /dev/null
+++ b/internal/wire/wireconv/contact.go
@@ -0,0 +1,30 @@
+package wireconv
+
+import (
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/wire"
+)
+
+// ContactToWire converts a node's contact with the platform.
+func ContactToWire(c model.PlatformContact) wire.PlatformContact {
+	switch c {
+	case model.ContactCurrent:
+		return wire.PlatformContact_PLATFORM_CONTACT_CURRENT
+	case model.ContactLost:
+		return wire.PlatformContact_PLATFORM_CONTACT_LOST
+	default:
+		return wire.PlatformContact_PLATFORM_CONTACT_NONE
+	}
+}
+
+// ContactFromWire converts a received contact; one that is not known is none.
+func ContactFromWire(c wire.PlatformContact) model.PlatformContact {
+	switch c {
+	case wire.PlatformContact_PLATFORM_CONTACT_CURRENT:
+		return model.ContactCurrent
+	case wire.PlatformContact_PLATFORM_CONTACT_LOST:
+		return model.ContactLost
+	default:
+		return model.ContactNone
+	}
+}
