Take the time that a request was held up on its way off its deadline

Cause: a node tells the gate how much time is left, and the gate counts that from the arrival. The request had waited one second in the queue of a link full of uploads: sent at 30.72 s with 44 ms left, at the gate at 31.72 s, 58 ms left there.

Change: each forwarded request carries the time since its sender's start.

--- /dev/null
+++ b/internal/decision/transit/transit_test.go
@@ -0,0 +1,40 @@
+package transit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/decision/transit"
+)
+
+func TestDelayIsCountedFromTheFastestMessageOfASender(t *testing.T) {
+	var d transit.Delays
+	const ms = time.Millisecond
+	for i, m := range []struct {
+		sender              uint64
+		sent, arrived, want time.Duration
+	}{
+		{1, 100 * ms, 5000 * ms, 0},
+		{1, 200 * ms, 5100 * ms, 0},
+		{1, 300 * ms, 6200 * ms, 1000 * ms},
+		{2, 300 * ms, 10 * ms, 0},        // started later than this process
+		{1, 400 * ms, 5296 * ms, 0},      // faster than all before
+		{1, 500 * ms, 5400 * ms, 4 * ms}, // as the first ones
+		{2, 1300 * ms, 1710 * ms, 700 * ms},
+		{0, 0, time.Hour, 0},
+	} {
+		if got := d.Observe(m.sender, m.sent, m.arrived); got != m.want {
+			t.Errorf("message %d: held up by %s, want %s", i, got, m.want)
+		}
+	}
+}
+
+func TestSendersAreBounded(t *testing.T) {
+	var d transit.Delays
+	for sender := uint64(1); sender < 20_000; sender++ {
+		d.Observe(sender, 0, time.Second)
+	}
+	if got := d.Observe(19_999, 0, 3*time.Second); got != 2*time.Second {
+		t.Errorf("the newest sender was forgotten: %s", got)
+	}
+}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -41,6 +41,8 @@
 	fieldPatience    = "w"
 	fieldIncarnation = "n"
 	fieldTime        = "h"
+	fieldSender      = "b"
+	fieldSent        = "m"
 )
 
 // The fields of HeaderResponse besides fieldID, fieldIncarnation and fieldTime.
@@ -86,6 +88,11 @@
 	// any. A gate refuses a request that means another process.
 	Incarnation model.Incarnation
 	Time        timeline.Timestamp
+	// Sender is a number of the sending process, Sent the time since its start at
+	// which it worked out the times above. They tell how long the request was
+	// under way. A Sender of 0 means that they are not known.
+	Sender uint64
+	Sent   time.Duration
 }
 
 // Encode sets the header of a forwarded request.
@@ -110,6 +117,8 @@
 	f.duration(fieldPatience, r.Patience)
 	f.number(fieldIncarnation, uint64(r.Incarnation))
 	f.number(fieldTime, uint64(r.Time))
+	f.number(fieldSender, r.Sender)
+	f.duration(fieldSent, r.Sent)
 	h[HeaderRequest] = []string{f.String()}
 }
 
@@ -133,6 +142,8 @@
 		Patience:    f.duration(fieldPatience),
 		Incarnation: model.Incarnation(f.number(fieldIncarnation)),
 		Time:        timeline.Timestamp(f.number(fieldTime)),
+		Sender:      uint64(f.number(fieldSender)),
+		Sent:        f.duration(fieldSent),
 	}
 	return r, ok && !f.faulty && r.ID != "" && r.Service != ""
 }
--- a/internal/service/forward/attempt.go
+++ b/internal/service/forward/attempt.go
@@ -105,6 +105,8 @@
 		LastChance:  q.LastChance,
 		Patience:    a.patience,
 		Incarnation: a.endpoint.ID.Incarnation,
+		Sender:      s.config.Process,
+		Sent:        now.Sub(s.start),
 	}
 	if s.config.Time != nil {
 		r.Time = s.config.Time.Now()
--- a/internal/service/gate/call.go
+++ b/internal/service/gate/call.go
@@ -31,6 +31,8 @@
 	copies         []model.Member
 	// arrived is when the gate got the call, started when it went to the server.
 	arrived, started time.Time
+	// heldUp is how much longer the call was under way than others of its sender.
+	heldUp time.Duration
 	// suspicion is the quarantine's decision on the request.
 	suspicion quarantine.Decision
 
@@ -53,13 +55,22 @@
 		BodyLength: r.ContentLength, IdempotencyKey: key,
 	}
 	c := &call{Request: request, w: w, r: r, arrived: s.clock.Now(), fingerprint: shape.Fingerprint()}
-	c.deadline = c.arrived.Add(request.Timeout)
+	c.heldUp = s.heldUp(request, c.arrived)
+	c.deadline = c.arrived.Add(request.Timeout - c.heldUp)
 	if !request.Idempotent {
 		c.remember(shape, key)
 	}
 	return c
 }
 
+// heldUp returns by how much longer a request was under way than the fastest one of
+// its sender: in the queue of a link full of requests it can outlive its caller.
+func (s *Service) heldUp(request hop.Request, arrived time.Time) time.Duration {
+	s.delaysMu.Lock()
+	defer s.delaysMu.Unlock()
+	return s.delays.Observe(request.Sender, request.Sent, arrived.Sub(s.start))
+}
+
 // remember sets the keys under which repeats are found. A stored answer goes
 // only to a repeat with the same credentials.
 func (c *call) remember(shape quarantine.Shape, key string) {
@@ -87,7 +98,7 @@
 func (c *call) slotRequest() admission.Request {
 	return admission.Request{
 		Ticket: c.ticket, Class: c.Class, Kind: c.Route, Priority: c.Priority, LastChance: c.LastChance, Patience: c.Patience,
-		Deadline: c.deadline, UsefulUntil: c.arrived.Add(c.Useful), Exclusive: c.exclusive(),
+		Deadline: c.deadline, UsefulUntil: c.arrived.Add(c.Useful - c.heldUp), Exclusive: c.exclusive(),
 	}
 }
 
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -17,6 +17,7 @@
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/admission"
 	"github.com/galenalever/galenalever/internal/decision/dedupe"
+	"github.com/galenalever/galenalever/internal/decision/transit"
 	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
@@ -82,6 +83,11 @@
 	repeats   map[dedupe.Waiter]chan dedupe.Decision
 	abandoned abandoned
 
+	// start is when the process began; delays are measured from it.
+	start    time.Time
+	delaysMu sync.Mutex
+	delays   transit.Delays
+
 	// Records of idempotency keys; see records.go.
 	recordsKnown atomic.Bool
 	refreshed    chan struct{}
@@ -160,7 +166,7 @@
 
 // Provision implements kernel.Provisioner.
 func (s *Service) Provision(c *kernel.Context) error {
-	s.clock, s.log = c.Clock, c.Log
+	s.clock, s.log, s.start = c.Clock, c.Log, c.Clock.Now()
 	s.http.ErrorLog = slog.NewLogLogger(c.Log.Handler(), slog.LevelDebug)
 	var err error
 	if s.partners, err = findPartners(c); err != nil {
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -244,10 +244,18 @@
 	out.cancel = cancel
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.address+path, body)
 	must(err)
-	hop.Request{
+	request := hop.Request{
 		ID: model.RequestID(id), Service: serviceName, Route: "book", Class: model.Class(class),
 		Idempotent: method == "GET", Attempt: 1, Timeout: left, Incarnation: model.Incarnation(incarnation),
-	}.Encode(r.Header)
+	}
+	if d.HasArg("sent-at") {
+		var at string
+		d.ScanArgs(s.t, "sent-at", &at)
+		request.Sent, err = time.ParseDuration(at)
+		must(err)
+		request.Sender = 5
+	}
+	request.Encode(r.Header)
 	r.GetBody = nil
 	if key != "" {
 		r.Header.Set("Idempotency-Key", key)
