Keep an outcome open once an attempt may have run the request

A refusal promises that nothing ran.

Cause: for idempotent requests the refusal of a later attempt replaced the unknown outcome of an earlier one; only after questions to the same gate was it kept.

Change: the progress of a request keeps the last result that leaves the outcome open, and a refusal does not take it back.

Test: TestARefusalDoesNotTakeBackAnEarlierRun; without the change of Settle it fails (refused after an attempt that may have run).

--- a/internal/decision/retry/retry.go
+++ b/internal/decision/retry/retry.go
@@ -41,6 +41,22 @@
 	Overdue bool
 	// Alone is true if no other server is left.
 	Alone bool
+	// Open is the last result that leaves open whether the request has run; nil if
+	// there is none.
+	Open *Result
+}
+
+// Note takes in the result of an attempt.
+func (p *Progress) Note(r Result) {
+	if r.Outcome == model.OutcomeUnknown {
+		p.Open = &r
+	}
+	if r.ReachedServer() {
+		p.Reached++
+	}
+	if r.Reason == model.ReasonBusy {
+		p.Busy++
+	}
 }
 
 // Result is how an attempt ended.
@@ -196,8 +212,8 @@
 // Settle returns the result that the caller is told. A refusal does not take
 // back an earlier attempt whose outcome is open.
 func Settle(p Progress, r Result) Result {
-	if p.Questions > 0 && r.Outcome == model.OutcomeNotRun {
-		return Result{Outcome: model.OutcomeUnknown, Reason: model.ReasonConnectionLost}
+	if p.Open != nil && r.Outcome == model.OutcomeNotRun {
+		return *p.Open
 	}
 	return r
 }
--- a/internal/decision/retry/retry_test.go
+++ b/internal/decision/retry/retry_test.go
@@ -51,6 +51,30 @@
 	})
 }
 
+// TestARefusalDoesNotTakeBackAnEarlierRun guards against an idempotent request that
+// is reported as not run after an attempt that may have run it.
+func TestARefusalDoesNotTakeBackAnEarlierRun(t *testing.T) {
+	lost := retry.Result{Outcome: model.OutcomeUnknown, Reason: model.ReasonConnectionLost}
+	refused := retry.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonBackendDown, RetryAfter: time.Second}
+	answered := retry.Result{Outcome: model.OutcomeAnswered}
+	var p retry.Progress
+	if got := retry.Settle(p, refused); got != refused {
+		t.Errorf("refused at first: %+v", got)
+	}
+	p.Note(refused)
+	if got := retry.Settle(p, refused); got != refused {
+		t.Errorf("refused twice: %+v", got)
+	}
+	p.Note(lost)
+	p.Note(refused)
+	if got := retry.Settle(p, refused); got != lost {
+		t.Errorf("refused after an attempt that may have run: %+v", got)
+	}
+	if got := retry.Settle(p, answered); got != answered {
+		t.Errorf("answered in the end: %+v", got)
+	}
+}
+
 // TestNeverRunsTwice checks for any request that is not idempotent and any
 // result: after an outcome that is not "not run" it is sent to no other server,
 // and no refusal makes an open outcome closed.
@@ -71,6 +95,7 @@
 				Reason:  rapid.SampledFrom(reasons).Draw(t, "reason"),
 			}
 			open = open || r.Outcome == model.OutcomeUnknown
+			p.Note(r)
 			decision := retry.Decide(q, p, r, random)
 			if open && (decision.Action == retry.SendElsewhere || decision.Action == retry.SendAgain) {
 				t.Fatalf("%+v after %+v", decision, r)
--- a/internal/service/forward/series.go
+++ b/internal/service/forward/series.go
@@ -140,12 +140,7 @@
 	r.progress.GateKnown = r.current.ID.Incarnation != 0
 	r.progress.Alone = len(r.tried) >= len(r.request.Destination.Endpoints)
 	r.progress.Replayable = last.Outcome == model.OutcomeAnswered || r.request.Body.Replayable()
-	if last.ReachedServer() {
-		r.progress.Reached++
-	}
-	if last.Reason == model.ReasonBusy {
-		r.progress.Busy++
-	}
+	r.progress.Note(last.Result)
 	decision := retry.Decide(r.rules, r.progress, last.Result, r.service.config.Random)
 	moves := decision.Action == retry.SendElsewhere || decision.Action == retry.SendAgain
 	if moves && last.Reason != model.ReasonBusy && !r.withdraw() {
