--- a/internal/service/backend/check.go
+++ b/internal/service/backend/check.go
@@ -37,7 +37,7 @@
 // that a dead one is never mistaken for a dead server.
 func newProbeClient() *http.Client {
 	return &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true},
+		Transport:     &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/service/gate/node_test.go
+++ b/internal/service/gate/node_test.go
@@ -162,3 +162,13 @@
 		panic(err)
 	}
 }
+
+// close ends the node and its server without waiting for requests.
+func (n *node) close() {
+	close(n.server.quit)
+	_ = n.server.http.Close()
+	_ = n.control.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = n.kernel.Stop(ctx)
+}
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -70,12 +70,7 @@
 func (s *scenario) close() {
 	s.client.CloseIdleConnections()
 	for _, n := range s.nodes {
-		close(n.server.quit)
-		_ = n.server.http.Close()
-		_ = n.control.Close()
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel()
-		_ = n.kernel.Stop(ctx)
+		n.close()
 	}
 }
 
