Let nodes with thin links follow each other in one order only

A node in the interim is now followed only by nodes behind it in the order of the hashes of their addresses, and by four at a time. TestNodesWithThinLinksSettle has 30 such nodes settle; if every interim node is accepted, it does not end.

--- a/internal/decision/rank/follow.go
+++ b/internal/decision/rank/follow.go
@@ -24,6 +24,24 @@
 	return bandwidth == 0 || 8*float64(configurationBytes) <= bandwidth*directTransfer.Seconds()
 }
 
+// Accepts reports whether a node may follow a peer with a control address that told
+// of its contact with the platform. A node that reads in the interim may be followed
+// by those behind it in one order only, so that two nodes which both look for
+// somebody to follow do not choose each other.
+func Accepts(self model.Self, address string, c model.PlatformContact) bool {
+	switch c {
+	case model.ContactCurrent:
+		return true
+	case model.ContactInterim:
+		own, other := addressHash(self.Addresses.Control), addressHash(address)
+		return cmp.Or(cmp.Compare(other, own), cmp.Compare(address, self.Addresses.Control)) < 0
+	default:
+		return false
+	}
+}
+
+func addressHash(address string) uint64 { return members.Hash(model.InstanceID(address)) }
+
 // Follow returns which nodes a node polls for the configuration, at most one for
 // each place. A node that is polled keeps its place while it is able. The others
 // are chosen first from the own failure domain and in an order that differs from
--- a/internal/decision/rank/follow_test.go
+++ b/internal/decision/rank/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/galenalever/galenalever/internal/decision/members"
@@ -87,3 +88,43 @@
 		}
 	}
 }
+
+// TestNodesWithThinLinksSettle guards against nodes that take turns in following
+// each other: where no link carries the configuration, some nodes go on reading and
+// the others keep following them.
+func TestNodesWithThinLinksSettle(t *testing.T) {
+	const count, rounds = 30, 40
+	rng := rand.New(rand.NewPCG(1, 2))
+	contacts := make([]model.PlatformContact, count)
+	for i := range contacts {
+		contacts[i] = model.ContactInterim
+	}
+	changes := 0
+	for round := range rounds {
+		changes = 0
+		for _, i := range rng.Perm(count) {
+			next := model.ContactInterim
+			for j := range count {
+				if i != j && rank.Accepts(self(i), self(j).Addresses.Control, contacts[j]) {
+					next = model.ContactNone
+				}
+			}
+			if next != contacts[i] {
+				contacts[i] = next
+				changes++
+			}
+		}
+		if round > count && changes > 0 {
+			t.Fatalf("%d nodes changed their role in round %d", changes, round)
+		}
+	}
+	readers := 0
+	for _, c := range contacts {
+		if c == model.ContactInterim {
+			readers++
+		}
+	}
+	if readers == 0 {
+		t.Error("nobody reads the platform")
+	}
+}
--- a/internal/model/contact.go
+++ b/internal/model/contact.go
@@ -10,6 +10,9 @@
 	ContactLost
 	// ContactCurrent means from the platform, whose last call was answered.
 	ContactCurrent
+	// ContactInterim is ContactCurrent of a node whose link does not carry the
+	// configuration and that has found no other node to follow.
+	ContactInterim
 )
 
 // String returns the name used in logs.
@@ -19,6 +22,8 @@
 		return "lost"
 	case ContactCurrent:
 		return "current"
+	case ContactInterim:
+		return "interim"
 	default:
 		return "none"
 	}
--- a/internal/service/exchange/exchange.go
+++ b/internal/service/exchange/exchange.go
@@ -114,6 +114,9 @@
 	outbox    *outbox
 	transfers slots
 	polls     slots
+	// interim are the polls of followers that a node serves whose link does not
+	// carry the configuration.
+	interim slots
 	// stopping is closed when held polls must be answered.
 	stopping chan struct{}
 	cancel   context.CancelFunc
@@ -135,6 +138,7 @@
 		cursors:      newCursors(),
 		transfers:    newSlots(maxTransfers),
 		polls:        newSlots(maxPolls),
+		interim:      newSlots(maxInterimFollowers),
 		stopping:     make(chan struct{}),
 		role:         kernel.NewSnapshot(role{}),
 		synchronised: kernel.NewSnapshot[uint64](0),
--- a/internal/service/exchange/follow.go
+++ b/internal/service/exchange/follow.go
@@ -25,6 +25,9 @@
 	// followedFor is how long after a poll another node counts as relying on
 	// this one.
 	followedFor = 5 * time.Second
+	// maxInterimFollowers is the number of nodes that may follow one whose link does
+	// not carry the configuration: a version in which much changes goes to each.
+	maxInterimFollowers = 4
 	// followedResolution is the least time between two notes of a poll.
 	followedResolution = time.Second
 )
@@ -56,6 +59,18 @@
 	s.decide()
 }
 
+// contact tells where this node gets its configuration. Any goroutine may call it.
+func (s *Service) contact() model.PlatformContact {
+	if s.source == nil {
+		return model.ContactNone
+	}
+	c := s.source.Contact()
+	if c == model.ContactCurrent && s.config.Direct && !s.role.Load().reader {
+		return model.ContactInterim
+	}
+	return c
+}
+
 // measure notes the size of what runs.
 func (s *Service) measure(c *model.Configuration) {
 	size := 0
@@ -97,7 +112,7 @@
 // and has another one chosen, unless that is the platform.
 func (s *Service) keepFollowing(m pollDone) bool {
 	f := &s.planner.following
-	if m.contact == model.ContactCurrent {
+	if rank.Accepts(s.config.Self, m.from.address, m.contact) {
 		if f.current[m.place] != m.from && s.role.Load().upstreams[m.place] == m.from {
 			f.current[m.place] = m.from
 			s.timeline.Record(timeline.KindUpstreamChanged, m.from.name())
@@ -105,9 +120,9 @@
 		}
 		return true
 	}
-	pause := lostFor
-	if m.contact == model.ContactNone {
-		pause = noReaderFor
+	pause := noReaderFor
+	if m.contact == model.ContactLost {
+		pause = lostFor
 	}
 	s.stopFollowing(m.from)
 	s.planner.exclusions.Refuse(m.from.id, s.clock.Now().Add(pause))
--- a/internal/service/exchange/server.go
+++ b/internal/service/exchange/server.go
@@ -41,6 +41,12 @@
 	defer s.polls.release()
 	asked := parseQuery(request)
 	if asked.configurationOnly {
+		if !s.role.Load().reader {
+			if !s.interim.tryAcquire() {
+				return s.refusal(asked.from), nil
+			}
+			defer s.interim.release()
+		}
 		s.loop.TryPost(followed{}) // the next poll tells it again
 	}
 	if asked.complete() {
@@ -129,9 +135,7 @@
 func (s *Service) answer(state *model.Configuration, view *members.View, q query) *wire.PollResponse {
 	response := &wire.PollResponse{Time: uint64(s.timeline.Clock().Now())}
 	wireconv.SetDelta(response, s.configurationDelta(state, q))
-	if s.source != nil {
-		response.Contact = wireconv.ContactToWire(s.source.Contact())
-	}
+	response.Contact = wireconv.ContactToWire(s.contact())
 	if !q.configurationOnly {
 		s.addMembers(response, view, q)
 	}
--- a/internal/wire/wireconv/contact.go
+++ b/internal/wire/wireconv/contact.go
@@ -10,6 +10,8 @@
 	switch c {
 	case model.ContactCurrent:
 		return wire.PlatformContact_PLATFORM_CONTACT_CURRENT
+	case model.ContactInterim:
+		return wire.PlatformContact_PLATFORM_CONTACT_INTERIM
 	case model.ContactLost:
 		return wire.PlatformContact_PLATFORM_CONTACT_LOST
 	default:
@@ -22,6 +24,8 @@
 	switch c {
 	case wire.PlatformContact_PLATFORM_CONTACT_CURRENT:
 		return model.ContactCurrent
+	case wire.PlatformContact_PLATFORM_CONTACT_INTERIM:
+		return model.ContactInterim
 	case wire.PlatformContact_PLATFORM_CONTACT_LOST:
 		return model.ContactLost
 	default:
