Leave the followed nodes time to be in contact again after an outage of the store

Cause: a node whose followed ones had lost the store read it itself, in an outage too.

Change: it does so only while the store answers its own listing of servers, and for a second after the return it asks the others alone, those that it believed silent too.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -155,6 +155,16 @@
 // MessageName implements kernel.Message.
 func (ReadScopeChanged) MessageName() string { return "read-scope-changed" }
 
+// PlatformReached tells that the platform's list of instances is read again, or
+// that it cannot be read.
+// Sent by source, handled by exchange.
+type PlatformReached struct {
+	Reached bool
+}
+
+// MessageName implements kernel.Message.
+func (PlatformReached) MessageName() string { return "platform-reached" }
+
 // Paused tells that the process did not run for Gap. Services that hold leases
 // or beliefs about others treat them as expired.
 // Sent by watchdog.
--- a/internal/service/exchange/follow.go
+++ b/internal/service/exchange/follow.go
@@ -13,7 +13,9 @@
 // In a mesh whose nodes read the platform directly, a node whose link does not
 // carry the configuration follows others: it gets what changed in a version, not
 // the whole version. While no node that it follows is in contact with the
-// platform, it reads the platform itself.
+// platform, it reads the platform itself, if that answers. After an outage it first
+// leaves the others time to be in contact again, or all nodes with thin links would
+// read whole configurations at the same moment.
 
 const (
 	// noReaderFor is how long a node that follows others itself is not asked
@@ -22,6 +24,9 @@
 	// lostFor is how long a node without contact to the platform is not asked
 	// again. It is short, since all may lose it at the same time.
 	lostFor = 500 * time.Millisecond
+	// regainTime is the time that the others have after an outage: their retries
+	// come within half a second.
+	regainTime = time.Second
 	// followedFor is how long after a poll another node counts as relying on
 	// this one.
 	followedFor = 5 * time.Second
@@ -41,6 +46,26 @@
 	current [rank.Followed]peer
 	// polledAt is when another node last followed this one.
 	polledAt time.Time
+	// away is true while the platform does not answer this node, and resumeAt the
+	// end of the time after its return in which only others are asked.
+	away     bool
+	resumeAt time.Time
+}
+
+// handleReached takes in whether the platform answers this node.
+func (s *Service) handleReached(m control.PlatformReached) {
+	if !s.config.Direct {
+		return
+	}
+	f := &s.planner.following
+	f.away = !m.Reached
+	if m.Reached {
+		// Others that were silent may have been cut off with the platform.
+		s.planner.exclusions.Clear()
+		f.resumeAt = s.clock.Now().Add(regainTime)
+		s.loop.After(regainTime, replan{})
+	}
+	s.decide()
 }
 
 // followed is the message that another node polls this one for the configuration.
@@ -87,12 +112,15 @@
 func (s *Service) assignDirect(next *role, old role) {
 	f := &s.planner.following
 	next.followed = !f.polledAt.IsZero() && s.clock.Now().Sub(f.polledAt) < followedFor
-	next.scope = control.ReadAll
 	if !s.planner.configured || rank.Carries(s.config.Bandwidth, f.size) {
-		next.reader = true
+		next.reader, next.scope = true, control.ReadAll
 		f.current = [rank.Followed]peer{}
 		return
 	}
+	next.scope = control.ReadAll
+	if f.away || s.clock.Now().Before(f.resumeAt) {
+		next.scope = control.ReadInstances
+	}
 	var ids [rank.Followed]model.InstanceID
 	for i, p := range old.upstreams {
 		ids[i] = p.id
--- a/internal/service/exchange/planner.go
+++ b/internal/service/exchange/planner.go
@@ -105,6 +105,7 @@
 	kernel.Subscribe(loop, s.handleResend)
 	kernel.Subscribe(loop, func(reannounce) { s.handleReannounce() })
 	kernel.Subscribe(loop, func(followed) { s.handleFollowed() })
+	kernel.Subscribe(loop, s.handleReached)
 }
 
 // repair is what the next poll asks for whole because deltas failed their
--- a/internal/service/source/instances.go
+++ b/internal/service/source/instances.go
@@ -21,6 +21,7 @@
 	for ctx.Err() == nil {
 		received, err := s.listInstances(ctx, s.lapses.Wait(wait, s.clock.Now()))
 		if err != nil {
+			s.reached(ctx, retry, false)
 			retry.failed(ctx, err)
 			wait = retryWait
 			continue
@@ -29,6 +30,7 @@
 		if retry.failures > 0 {
 			s.lapses.Regained(now)
 		}
+		s.reached(ctx, retry, true)
 		retry.succeeded()
 		wait = s.watchWait()
 		s.postMembers(ctx, s.withoutLapsed(received, now), current)
@@ -36,6 +38,14 @@
 	}
 }
 
+// reached tells the other services when a call ends a row of failures or begins
+// one.
+func (s *Service) reached(ctx context.Context, retry *retrier, ok bool) {
+	if ok == (retry.failures > 0) && ctx.Err() == nil {
+		_ = s.loop.Post(ctx, control.PlatformReached{Reached: ok}) // fails with the context only
+	}
+}
+
 // withoutLapsed holds back removals that an outage of the platform may have
 // caused, and adds those that were held for long enough.
 func (s *Service) withoutLapsed(received []model.Member, now time.Time) []model.Member {
