Read the answer of a followed node to its end while it comes

Cause: log of sidecar-jkt-21: after 1,300 routes were added, every poll of a followed node failed with 'failed to read response body: context deadline exceeded' from 12.1 s on. A poll had 1.5 s for its whole answer, so one that took longer was asked for again from its beginning, from two nodes at a time, and the node read the store's 459 KB beside them (3.9 s).

Change: the limit of a poll runs from the last piece of its answer, as with calls to the store; of two large answers only one is read; a poll may wait 1.5 s on a full link.

--- a/internal/clock/timeout.go
+++ b/internal/clock/timeout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -16,3 +17,29 @@
 		cancel(context.Canceled)
 	}
 }
+
+// WithPatience returns a context that ends after a time, with
+// context.DeadlineExceeded, unless progress is called. Each call of it grants the
+// time pause from then on. Both functions may be called by any goroutine; cancel
+// must be called in the end.
+func WithPatience(
+	ctx context.Context, clk Clock, first, pause time.Duration,
+) (patient context.Context, progress func(), cancel context.CancelFunc) {
+	patient, end := context.WithCancelCause(ctx)
+	var mu sync.Mutex
+	over := func() { end(context.DeadlineExceeded) }
+	timer := clk.AfterFunc(first, over)
+	progress = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if timer.Stop() {
+			timer = clk.AfterFunc(pause, over)
+		}
+	}
+	return patient, progress, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		timer.Stop()
+		end(context.Canceled)
+	}
+}
--- a/internal/service/exchange/exchange.go
+++ b/internal/service/exchange/exchange.go
@@ -153,7 +153,8 @@
 	s.outbox = newOutbox(s)
 	s.http = newClient(&s.bytes)
 	if s.dial == nil {
-		s.dial = func(address string) wire.Exchange { return newRemote(s.http, address) }
+		client := leanClient{client: s.http, large: newSlots(1)}
+		s.dial = func(address string) wire.Exchange { return newRemote(client, address) }
 	}
 	return s
 }
--- a/internal/service/exchange/poller.go
+++ b/internal/service/exchange/poller.go
@@ -14,6 +14,9 @@
 const (
 	// transferMargin replaces the margin of a poll when the complete state is asked for.
 	transferMargin = 5 * time.Second
+	// otherAnswerDelay is the pause of a poller while another one reads a large
+	// answer.
+	otherAnswerDelay = 300 * time.Millisecond
 	// minPollInterval is the least time between two answers.
 	minPollInterval = 100 * time.Millisecond
 	// failureDelay is the pause after a failure that left no other upstream.
@@ -63,6 +66,8 @@
 		switch {
 		case ctx.Err() != nil:
 			return answered
+		case errors.Is(err, errOtherAnswer):
+			_ = clock.Wait(ctx, s.clock, otherAnswerDelay)
 		case err != nil:
 			s.reportFailure(ctx, upstream, err)
 		default:
--- a/internal/service/exchange/question.go
+++ b/internal/service/exchange/question.go
@@ -55,10 +55,11 @@
 	return s.takeAnswer(ctx, p, ask, request, response)
 }
 
-// call makes one poll.
+// call makes one poll. An answer that keeps coming is read to its end.
 func (s *Service) call(ctx context.Context, p peer, ask question, request *wire.PollRequest) (*wire.PollResponse, error) {
-	ctx, cancel := clock.WithTimeout(ctx, s.clock, ask.timeout(request, s.config.Times.Margin))
+	ctx, progress, cancel := clock.WithPatience(ctx, s.clock, ask.timeout(request, s.config.Times.Margin), s.config.Times.Margin)
 	defer cancel()
+	ctx = context.WithValue(ctx, progressKey{}, progress)
 	response, err := s.dial(p.address).Poll(ctx, request)
 	if err != nil {
 		return nil, err
--- a/internal/service/exchange/remote.go
+++ b/internal/service/exchange/remote.go
@@ -4,8 +4,11 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/galenalever/galenalever/internal/wire"
 )
 
@@ -34,15 +37,29 @@
 }
 
 // newRemote returns the exchange of the node at a control address.
-func newRemote(client *http.Client, address string) wire.Exchange {
-	return wire.NewExchangeProtobufClient("http://"+address, leanClient{client})
+func newRemote(client leanClient, address string) wire.Exchange {
+	return wire.NewExchangeProtobufClient("http://"+address, client)
 }
 
+// largeAnswer is the size in bytes from which only one answer is read at a time: two
+// of them would bring the same changes over the same link.
+const largeAnswer = 16 << 10
+
+// errOtherAnswer means that a large answer was not read, since another node's is
+// being read.
+var errOtherAnswer = eris.New("a large answer of another node is being read")
+
 // leanClient sends only the headers that Twirp needs and bounds the answers.
 type leanClient struct {
 	client *http.Client
+	// large is held while a large answer is read.
+	large slots
 }
 
+// progressKey is the key of a function in the context of a call that is told of
+// each piece of the answer.
+type progressKey struct{}
+
 // Do implements wire.HTTPClient.
 func (c leanClient) Do(r *http.Request) (*http.Response, error) {
 	r.Header = http.Header{
@@ -53,11 +70,37 @@
 	if err != nil {
 		return nil, err
 	}
-	response.Body = limitedBody{Reader: io.LimitReader(response.Body, maxResponseBytes), Closer: response.Body}
+	body := limitedBody{Reader: io.LimitReader(response.Body, maxResponseBytes), Closer: response.Body, release: func() {}}
+	if response.ContentLength > largeAnswer {
+		if !c.large.tryAcquire() {
+			_ = response.Body.Close()
+			return nil, errOtherAnswer
+		}
+		body.release = sync.OnceFunc(c.large.release)
+	}
+	body.progress, _ = r.Context().Value(progressKey{}).(func())
+	response.Body = body
 	return response, nil
 }
 
 type limitedBody struct {
 	io.Reader
 	io.Closer
+	// progress may be nil.
+	progress, release func()
+}
+
+// Read implements io.Reader.
+func (b limitedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if n > 0 && b.progress != nil {
+		b.progress()
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b limitedBody) Close() error {
+	b.release()
+	return b.Closer.Close()
 }
