--- a/internal/service/exchange/poller.go
+++ b/internal/service/exchange/poller.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// transferMargin replaces the margin of a poll when the complete state is asked for.
+	// transferMargin replaces the margin of a poll for the complete state.
 	transferMargin = 5 * time.Second
 	// otherAnswerDelay is the pause of a poller while another one reads a large
 	// answer.
--- a/internal/service/exchange/remote.go
+++ b/internal/service/exchange/remote.go
@@ -41,8 +41,9 @@
 	return wire.NewExchangeProtobufClient("http://"+address, client)
 }
 
-// largeAnswer is the size in bytes from which only one answer is read at a time: two
-// of them would bring the same changes over the same link.
+// largeAnswer is the size in bytes from which a node that follows others reads one
+// answer at a time, since two would bring the same changes over the same link, and
+// from which answers to it are compressed.
 const largeAnswer = 16 << 10
 
 // errOtherAnswer means that a large answer was not read, since another node's is
@@ -52,7 +53,7 @@
 // leanClient sends only the headers that Twirp needs, and bounds the answers.
 type leanClient struct {
 	client *http.Client
-	// large is held while a large answer is read.
+	// large is held while a node that follows others reads a large answer.
 	large slots
 }
 
@@ -61,8 +62,9 @@
 type transfer struct {
 	// progress is told of each piece of the answer.
 	progress func()
-	// compressed asks for a compressed answer, which costs a header.
-	compressed bool
+	// following is true for the polls of a node that follows others. It asks for
+	// compressed answers, which costs a header.
+	following bool
 }
 
 type transferKey struct{}
@@ -74,7 +76,7 @@
 		"User-Agent":   {""},
 	}
 	how, _ := r.Context().Value(transferKey{}).(transfer)
-	if how.compressed {
+	if how.following {
 		r.Header["Accept-Encoding"] = []string{encodingGzip}
 	}
 	response, err := c.client.Do(r)
@@ -82,7 +84,7 @@
 		return nil, err
 	}
 	body := limitedBody{Closer: response.Body, release: func() {}}
-	if response.ContentLength > largeAnswer {
+	if how.following && response.ContentLength > largeAnswer {
 		if !c.large.tryAcquire() {
 			_ = response.Body.Close()
 			return nil, errOtherAnswer
