Let the end of a drain close no connection whose request was just read

Cause: the ingress called SetKeepAlivesEnabled(false) before Shutdown. It closes idle connections, and a connection counts as idle until the head of its next request was read; the server handles such a request, as it is not shutting down yet. Shutdown sets that first, and a request on a connection that it closes is not handled.

--- a/internal/service/ingress/mesh_test.go
+++ b/internal/service/ingress/mesh_test.go
@@ -39,10 +39,13 @@
 	script     *script
 	url        string
 	listener   *observedListener
-	calls      map[string]chan string
-	cancels    map[string]context.CancelFunc
-	stopped    chan error
-	client     *http.Client
+	// late holds connections up, if it is set before the start.
+	late    *lateListener
+	scope   tally.TestScope
+	calls   map[string]chan string
+	cancels map[string]context.CancelFunc
+	stopped chan error
+	client  *http.Client
 }
 
 // lockedRandom is a seeded generator for concurrent use.
@@ -96,12 +99,17 @@
 		m.t.Fatal(err)
 	}
 	m.listener = &observedListener{Listener: listener, closed: make(chan struct{})}
+	if m.late != nil {
+		m.late.Listener = listener
+		m.listener.Listener = m.late
+	}
+	m.scope = tally.NewTestScope("", nil)
 	self := model.Self{ID: "caller", Domain: "jkt", Incarnation: 1}
 	random := &lockedRandom{rng: rand.NewPCG(1, 2)}
 	m.observed = newObservedBalancer(balancer.New(balancer.Config{Self: self, Random: random}))
 	m.kernel = kernel.New(m.clock, slog.New(slog.DiscardHandler))
 	err = m.kernel.Register(
-		m.gate, m.timeline, &fakeMetrics{scope: tally.NewTestScope("", nil)}, m.watchdog, m.config, m.membership,
+		m.gate, m.timeline, &fakeMetrics{scope: m.scope}, m.watchdog, m.config, m.membership,
 		routing.New(), m.observed, forward.New(forward.Config{Random: random}),
 		ingress.New(ingress.Config{Self: self, Listener: m.listener, MaxInFlight: maxInFlight}),
 	)
--- a/internal/service/ingress/service.go
+++ b/internal/service/ingress/service.go
@@ -182,7 +182,8 @@
 // close their connections and waits for the running requests.
 func (s *Service) Stop(ctx context.Context) error {
 	s.awaitOwnServer(ctx)
-	s.server.SetKeepAlivesEnabled(false)
+	// Shutdown alone: SetKeepAlivesEnabled would close connections whose next
+	// request has just been read, and the server would still handle it.
 	err := s.server.Shutdown(ctx)
 	<-s.served
 	return err
