--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -123,7 +123,8 @@
 	// ReadNothing is for a node that polls an upstream.
 	ReadNothing ReadScope = iota
 	// ReadInstances is for a new process that found no peer: it derives its rank and
-	// the peers to poll from the list of instances.
+	// the peers to poll from the list of instances. It is also for a reader whose link
+	// cannot carry the configuration.
 	ReadInstances
 	// ReadAll is for a node that reads on behalf of its failure domain.
 	ReadAll
@@ -148,15 +149,19 @@
 	// ReaderIndex is the number of readers of the failure domain that come before
 	// this one.
 	ReaderIndex int
-	// Followed is true while other nodes get the configuration from this one.
-	Followed bool
+	// Interim is true if the node reads only until it can follow another one.
+	Interim bool
+	// Known is a revision of the platform up to which the node knows all changes from
+	// other nodes, or 0.
+	Known model.Revision
 }
 
 // MessageName implements kernel.Message.
 func (ReadScopeChanged) MessageName() string { return "read-scope-changed" }
 
-// PlatformReached reports that the platform's list of instances can be read
-// again or, with Reached false, that it cannot.
+// PlatformReached reports that the platform's list of instances has been read for
+// the first time since the scope of reading changed, or again after failures, or, with
+// Reached false, that it cannot be read.
 // Sent by source, handled by exchange.
 type PlatformReached struct {
 	Reached bool
--- a/internal/decision/platformread/removal_hold.go
+++ b/internal/decision/platformread/removal_hold.go
@@ -72,6 +72,9 @@
 	return b
 }
 
+// Holding reports whether any removal is held back.
+func (h *RemovalHold) Holding() bool { return len(h.held) > 0 }
+
 // Due returns the held removals once the grace period is over, and releases them.
 func (h *RemovalHold) Due(now time.Time) []model.Member {
 	if now.Before(h.until) {
--- a/internal/decision/rank/partners.go
+++ b/internal/decision/rank/partners.go
@@ -86,7 +86,7 @@
 
 // rotateByHash rotates the list by a hash of the node's ID, which spreads the nodes
 // over the list.
-func rotateByHash(list []model.Member, id model.InstanceID) []model.Member {
+func rotateByHash[T any](list []T, id model.InstanceID) []T {
 	if len(list) == 0 {
 		return nil
 	}
--- a/internal/decision/rank/upstream.go
+++ b/internal/decision/rank/upstream.go
@@ -39,21 +39,30 @@
 	if n := countIncluded(candidates, seen.Silent); n < Readers {
 		return Role{Reader: true, ReaderIndex: n, Upstream: lastIncluded(candidates, seen.Silent)}
 	}
-	ideal := parentPosition(len(candidates))
+	ideal := parentPosition(len(candidates), Readers, fanOut)
 	unavailable := func(id model.InstanceID) bool { return seen.Silent(id) || seen.Busy(id) }
 	if kept := withinTolerance(candidates, ideal, current); kept != nil && !unavailable(kept.ID) {
 		return Role{Upstream: *kept}
 	}
-	if next := chooseUpstream(candidates, ideal, self, unavailable); next != nil {
+	tree := tree{candidates: candidates, readers: Readers, fanOut: fanOut}
+	if next := tree.choose(ideal, self, unavailable); next != nil {
 		return Role{Upstream: *next}
 	}
 	// Not nil, since at least Readers candidates are not silent.
-	return Role{Upstream: *chooseUpstream(candidates, ideal, self, seen.Silent)}
+	return Role{Upstream: *tree.choose(ideal, self, seen.Silent)}
 }
 
-// parentPosition returns the position of the ideal upstream of a node that is not a
-// reader, given the position of the node.
-func parentPosition(position int) int { return (position - Readers) / fanOut }
+// parentPosition returns the position of the ideal upstream of a node that is not one
+// of the readers, given the position of the node and the number of nodes that poll the
+// same upstream.
+func parentPosition(position, readers, fanOut int) int { return (position - readers) / fanOut }
+
+// tree is the order of the nodes that precede a node, of which the first are readers.
+type tree struct {
+	candidates []*model.Member
+	readers    int
+	fanOut     int
+}
 
 func countIncluded(candidates []*model.Member, excluded Excluded) int {
 	n := 0
@@ -93,26 +102,26 @@
 	return nil
 }
 
-// chooseUpstream returns the first candidate that is not excluded, in this order: the
-// ideal upstream, the ideal upstreams above it up to a reader, the other readers, all
+// choose returns the first candidate that is not excluded, in this order: the ideal
+// upstream, the ideal upstreams above it up to a reader, the other readers, all
 // others. It returns nil if all are excluded.
-func chooseUpstream(candidates []*model.Member, ideal int, self model.Self, excluded Excluded) *model.Member {
-	for position := ideal; ; position = parentPosition(position) {
-		if !excluded(candidates[position].ID) {
-			return candidates[position]
+func (t tree) choose(ideal int, self model.Self, excluded Excluded) *model.Member {
+	for position := ideal; ; position = parentPosition(position, t.readers, t.fanOut) {
+		if !excluded(t.candidates[position].ID) {
+			return t.candidates[position]
 		}
-		if position < Readers {
+		if position < t.readers {
 			break
 		}
 	}
-	offset := int(members.Hash(self.ID) % uint64(len(candidates)))
-	for i := range Readers {
-		if m := candidates[(offset+i)%Readers]; !excluded(m.ID) {
+	offset := int(members.Hash(self.ID) % uint64(len(t.candidates)))
+	for i := range t.readers {
+		if m := t.candidates[(offset+i)%t.readers]; !excluded(m.ID) {
 			return m
 		}
 	}
-	for i := range candidates {
-		if m := candidates[(offset+i)%len(candidates)]; !excluded(m.ID) {
+	for i := range t.candidates {
+		if m := t.candidates[(offset+i)%len(t.candidates)]; !excluded(m.ID) {
 			return m
 		}
 	}
--- /dev/null
+++ b/internal/distribution/direct_test.go
@@ -0,0 +1,125 @@
+package distribution
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/galenalever/galenalever/internal/decision/backoff"
+	"github.com/galenalever/galenalever/internal/decision/rank"
+	"github.com/galenalever/galenalever/internal/document"
+	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/service/config"
+	"github.com/galenalever/galenalever/internal/service/exchange"
+	"github.com/galenalever/galenalever/internal/service/membership"
+	"github.com/galenalever/galenalever/internal/service/source"
+	"github.com/galenalever/galenalever/internal/service/watchdog"
+)
+
+// The times of a platform on which a change must be in force, and a leaving server out
+// of all views, within 3 s.
+var (
+	directPacing = source.Pacing{
+		WatchWait:     1125 * time.Millisecond,
+		ListInterval:  750 * time.Millisecond,
+		Retry:         backoff.Policy{Base: 200 * time.Millisecond, Max: 500 * time.Millisecond},
+		InterimRetry:  backoff.Policy{Base: time.Second, Max: 3 * time.Second},
+		MaxRetryAfter: time.Second,
+		StartJitter:   100 * time.Millisecond,
+	}
+	directPollTimes = exchange.PollTimes{
+		Wait: 750 * time.Millisecond, Margin: 1500 * time.Millisecond, Coalesce: 20 * time.Millisecond,
+		MaxSilence: 1800 * time.Millisecond,
+	}
+)
+
+const (
+	// directCallTimeout is the time after which a call fails if the platform is silent.
+	directCallTimeout = time.Second
+	// directMaxStale is watchdog.Config.MaxStale.
+	directMaxStale = 1500 * time.Millisecond
+)
+
+// serverID is the ID under which the platform of a direct mesh lists the server beside
+// a node.
+func serverID(id model.InstanceID) model.InstanceID { return "server-of-" + id }
+
+// startDirectNode starts a process that knows no other node and not the ID of its server.
+func startDirectNode(m *mesh, self model.Self, seed uint64) *node {
+	n := newNode(self)
+	n.membership = membership.New(membership.Config{Self: self, Unannounced: true})
+	n.watchdog = watchdog.New(watchdog.Config{MaxStale: directMaxStale})
+	n.config = config.New(0)
+	n.exchange = exchange.New(exchange.Config{
+		Self: self, Dial: m.dialer(n), RandomSeed: seed, Direct: true, PollTimes: directPollTimes,
+	})
+	n.run(m, source.New(source.Config{
+		Self: self, Platform: &platformClient{mesh: m, node: n}, Parse: document.NewSubtree, RandomSeed: seed, Pacing: directPacing,
+	}))
+	return n
+}
+
+// readers returns the nodes of a domain that should read the platform.
+func (s *script) readers(d *datadriven.TestData) []*node {
+	var domain string
+	d.ScanArgs(s.t, "domain", &domain)
+	var out []*node
+	for _, n := range s.mesh.nodes {
+		none := [rank.MaxFollowed]model.InstanceID{}
+		following := rank.Follow(n.membership.View().Load(), n.self, none, func(string) bool { return false }, rank.NoFailures())
+		if string(n.self.Domain) == domain && following.Reader {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// disturbReaders kills the readers of a domain, cuts them from the platform or makes
+// them silent to other nodes.
+func (s *script) disturbReaders(d *datadriven.TestData) string {
+	readers := s.readers(d)
+	for _, n := range readers {
+		if d.HasArg("kill") {
+			n.kill()
+			continue
+		}
+		s.mesh.mu.Lock()
+		s.mesh.cutNodes[n.self.ID] = d.HasArg("cut")
+		s.mesh.silentNodes[n.self.ID] = d.HasArg("silent")
+		s.mesh.mu.Unlock()
+	}
+	return fmt.Sprintf("%d readers", len(readers))
+}
+
+// drainServer makes the platform list a server as leaving.
+func (s *script) drainServer(d *datadriven.TestData) {
+	var id string
+	d.ScanArgs(s.t, "instance", &id)
+	s.mesh.mu.Lock()
+	defer s.mesh.mu.Unlock()
+	p := s.mesh.platform
+	for i := range p.instances {
+		if string(p.instances[i].ID) == id {
+			p.listRevision++
+			p.instances[i].Listed, p.instances[i].ListedAt = model.ListingLeaving, p.listRevision
+		}
+	}
+	p.notify()
+}
+
+// countCalls reports whether the platform gets at most the given number of calls while
+// the time passes.
+func (s *script) countCalls(d *datadriven.TestData) string {
+	var most int
+	d.ScanArgs(s.t, "most", &most)
+	s.mesh.mu.Lock()
+	s.mesh.platform.totalCalls = 0
+	s.mesh.mu.Unlock()
+	s.mesh.advance(duration(s.t, d, "during"))
+	s.mesh.mu.Lock()
+	defer s.mesh.mu.Unlock()
+	calls := s.mesh.platform.totalCalls
+	s.t.Logf("%s: %d calls", d.Pos, calls)
+	return fmt.Sprintf("at most %d: %t", most, calls <= most)
+}
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -23,7 +23,8 @@
 // synctest reports when all goroutines of all nodes are blocked, and then the fake clock
 // advances. The commands:
 //
-//	mesh nodes=N domains=A+B limit=N teams=N  start a mesh; limit is in platform calls per second
+//	mesh nodes=N domains=A+B limit=N teams=N  start a mesh; limit is in platform calls per second;
+//	                                          with "direct", nodes follow each other (exchange.Config.Direct)
 //	publish [count=N every=TIME]              publish new versions of random teams' documents
 //	supersede after=TIME                      publish a good version, then an invalid one
 //	run for=TIME                              let the time pass
@@ -36,6 +37,10 @@
 //	converged, agreed, fresh within=TIME      wait until all nodes fulfil the condition
 //	present, absent instance=ID within=TIME   wait until all nodes consider an instance so
 //	synchronised, announcements during=TIME   count messages while the time passes
+//	readers domain=A [kill|cut|silent]        disturb the readers of a domain in a direct mesh; without an
+//	                                          argument, end the disturbance of the present ones
+//	drain instance=ID                         list a server as leaving
+//	calls during=TIME most=N                  compare the number of platform calls with a limit
 //	check                                     report reversions and the rate of platform calls
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -102,6 +107,12 @@
 		return s.present(d)
 	case "absent":
 		return s.absent(d)
+	case "readers":
+		return s.disturbReaders(d)
+	case "drain":
+		s.drainServer(d)
+	case "calls":
+		return s.countCalls(d)
 	case "check":
 		return s.check(d)
 	default:
@@ -141,6 +152,7 @@
 		domains = append(domains, model.FailureDomain(name))
 	}
 	s.mesh = newMesh(domains, limit)
+	s.mesh.direct = d.HasArg("direct")
 	s.teams = teams
 	s.mesh.publish(model.RootKey, rootDocument(teams))
 	for i := range teams {
--- a/internal/distribution/mesh_test.go
+++ b/internal/distribution/mesh_test.go
@@ -28,8 +28,14 @@
 	byAddress map[string]*node
 	// partitioned is the set of domains that are partitioned from all others.
 	partitioned map[model.FailureDomain]bool
-	// withoutPlatform is the set of domains that do not reach the platform.
+	// withoutPlatform is the set of domains that do not reach the platform, cutNodes that
+	// of single nodes.
 	withoutPlatform map[model.FailureDomain]bool
+	cutNodes        map[model.InstanceID]bool
+	// silentNodes do not respond to other nodes.
+	silentNodes map[model.InstanceID]bool
+	// direct is exchange.Config.Direct of all nodes.
+	direct bool
 	// lastRevisions holds the newest revisions that each instance has run, in any
 	// process.
 	lastRevisions map[model.InstanceID]map[model.Key]model.Revision
@@ -53,6 +59,8 @@
 		byAddress:       make(map[string]*node),
 		partitioned:     make(map[model.FailureDomain]bool),
 		withoutPlatform: make(map[model.FailureDomain]bool),
+		cutNodes:        make(map[model.InstanceID]bool),
+		silentNodes:     make(map[model.InstanceID]bool),
 		lastRevisions:   make(map[model.InstanceID]map[model.Key]model.Revision),
 		bytesPerNode:    make(map[model.InstanceID]uint64),
 	}
@@ -77,6 +85,9 @@
 func (m *mesh) addListing(self model.Self) {
 	m.platform.listRevision++
 	listed := self.Member(model.PresenceUnknown)
+	if m.direct {
+		listed.ID = serverID(self.ID)
+	}
 	listed.Announced = model.Announcement{}
 	listed.Listed, listed.ListedAt = model.ListingLive, m.platform.listRevision
 	m.platform.instances = append(m.platform.instances, listed)
--- a/internal/distribution/network_test.go
+++ b/internal/distribution/network_test.go
@@ -90,7 +90,7 @@
 	switch {
 	case !e.from.alive() || !to.alive():
 		return errRefused
-	case e.mesh.separated(e.from.self.Domain, to.self.Domain):
+	case e.mesh.separated(e.from.self.Domain, to.self.Domain) || e.mesh.silent(e.from) || e.mesh.silent(to):
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -98,6 +98,12 @@
 	return ctx.Err()
 }
 
+func (m *mesh) silent(n *node) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.silentNodes[n.self.ID]
+}
+
 // separated reports whether a partition lies between two domains.
 func (m *mesh) separated(a, b model.FailureDomain) bool {
 	m.mu.Lock()
--- a/internal/distribution/node_test.go
+++ b/internal/distribution/node_test.go
@@ -45,6 +45,9 @@
 // startNode starts a process of an instance, which is ready at once. The seed is the
 // random seed of its services.
 func startNode(m *mesh, self model.Self, seed uint64) *node {
+	if m.direct {
+		return startDirectNode(m, self, seed)
+	}
 	n := newNode(self)
 	n.membership = membership.New(membership.Config{Self: self})
 	n.watchdog = watchdog.New(watchdog.Config{})
@@ -56,17 +59,21 @@
 		BootstrapFor: bootstrapFor,
 		RandomSeed:   seed,
 	})
-	src := source.New(source.Config{Self: self, Platform: &platformClient{mesh: m, node: n}, Parse: document.NewSubtree, RandomSeed: seed})
+	n.run(m, source.New(source.Config{Self: self, Platform: &platformClient{mesh: m, node: n}, Parse: document.NewSubtree, RandomSeed: seed}))
+	n.kernel.Loop().TryPost(control.PresenceChanged{Presence: model.PresenceReady})
+	return n
+}
+
+// run starts the services of the node.
+func (n *node) run(m *mesh, src *source.Service) {
 	n.kernel = kernel.New(m.clock, slog.New(slog.DiscardHandler))
 	events := &timelineService{clock: timeline.NewClock(m.clock)}
-	if err := n.kernel.Register(events, n.watchdog, n.config, n.membership, src, n.exchange, &observer{mesh: m, id: self.ID}); err != nil {
+	if err := n.kernel.Register(events, n.watchdog, n.config, n.membership, src, n.exchange, &observer{mesh: m, id: n.self.ID}); err != nil {
 		panic(err)
 	}
 	if err := n.kernel.Start(context.Background()); err != nil {
 		panic(err)
 	}
-	n.kernel.Loop().TryPost(control.PresenceChanged{Presence: model.PresenceReady})
-	return n
 }
 
 // kill ends the process without notice to other nodes.
--- a/internal/distribution/platform_test.go
+++ b/internal/distribution/platform_test.go
@@ -37,6 +37,8 @@
 	calls         int
 	highestRate   int
 	refusedCalls  int
+	// totalCalls is the number of calls since the last check of it.
+	totalCalls int
 }
 
 func newPlatform(clk clock.Clock, limit int) *platform {
@@ -50,6 +52,7 @@
 		p.currentSecond, p.calls = now, 0
 	}
 	p.calls++
+	p.totalCalls++
 	p.highestRate = max(p.highestRate, p.calls)
 	switch {
 	case p.outage:
@@ -78,12 +81,16 @@
 func (c *platformClient) deliver(ctx context.Context) error {
 	_ = clock.Wait(ctx, c.mesh.clock, remoteDelay)
 	c.mesh.mu.Lock()
-	unreachable := c.mesh.withoutPlatform[c.node.self.Domain]
+	unreachable := c.mesh.withoutPlatform[c.node.self.Domain] || c.mesh.cutNodes[c.node.self.ID]
+	timeout := callTimeout
+	if c.mesh.direct {
+		timeout = directCallTimeout
+	}
 	c.mesh.mu.Unlock()
 	if !unreachable {
 		return nil
 	}
-	ctx, cancel := clock.WithTimeout(ctx, c.mesh.clock, callTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, c.mesh.clock, timeout)
 	defer cancel()
 	<-ctx.Done()
 	return ctx.Err()
@@ -168,7 +175,7 @@
 	_ = clock.Wait(ctx, c.mesh.clock, remoteDelay)
 	c.mesh.mu.Lock()
 	defer c.mesh.mu.Unlock()
-	out := source.InstanceListing{Revision: c.mesh.platform.listRevision}
+	out := source.InstanceListing{Revision: c.mesh.platform.listRevision, Complete: after == 0}
 	for _, m := range c.mesh.platform.instances {
 		if m.ListedAt > after {
 			out.Members = append(out.Members, m)
--- a/internal/service/exchange/exchange.go
+++ b/internal/service/exchange/exchange.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -40,10 +41,9 @@
 	BootstrapFor time.Duration
 	// RandomSeed makes jitter and random choices differ between processes.
 	RandomSeed uint64
-	// Direct is true if every node reads the list of instances from the platform,
-	// and also the configuration if its link can carry it. A node with a slower
-	// link polls other nodes for the configuration. In this mode the service sends
-	// no announcements.
+	// Direct is true if the platform lists backend servers under IDs that their nodes
+	// do not know. Nodes then find each other by address, and the service sends no
+	// announcements.
 	Direct bool
 	// Bandwidth is the bandwidth of the node's link in bits per second; 0 means no
 	// limit.
@@ -63,6 +63,9 @@
 	// Coalesce is how long a response is delayed after the first change, so that
 	// changes that follow closely are sent in the same response.
 	Coalesce time.Duration
+	// MaxSilence is how long after the last response of the nodes that it follows a
+	// node reads the platform itself. It is used in direct mode only.
+	MaxSilence time.Duration
 }
 
 // DefaultPollTimes suit a large mesh in which changes may take seconds to arrive.
@@ -90,9 +93,9 @@
 	}
 	// platformReader is implemented by the service that reads the platform.
 	platformReader interface {
-		// Contact reports whether this node reads the configuration from the platform
-		// and whether the platform responds. It is safe for concurrent use.
-		Contact() model.PlatformContact
+		// Revision returns the revision of the platform up to which this node has read
+		// all changes, or 0. It is safe for concurrent use.
+		Revision() model.Revision
 	}
 	statusPage interface {
 		AddStatus(section string, f func() any)
@@ -123,19 +126,22 @@
 	// the number of polls served at a time.
 	transfers slots
 	polls     slots
-	// interimPolls bounds the configuration-only polls that are served while this
-	// node's own link cannot carry the configuration.
-	interimPolls slots
 	// stopping is closed on shutdown; waiting polls then get a response at once.
 	stopping chan struct{}
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
-	// role, synchronised and repair are written on the control loop. synchronised
-	// counts control.Synchronised messages.
+	// role, synchronised, contact and repair are written on the control loop.
+	// synchronised counts control.Synchronised messages. contact is this node's contact
+	// with the platform; it stays ContactNone outside of direct mode.
 	role         *kernel.Snapshot[role]
 	synchronised *kernel.Snapshot[uint64]
-	repair       *kernel.Snapshot[repair]
-	planner      planner
+	contact      *kernel.Snapshot[model.PlatformContact]
+	// known is a copy of following.knownRevision for other goroutines. links is what
+	// polls tell other nodes about links, nil outside of direct mode.
+	known   atomic.Uint64
+	links   atomic.Pointer[links]
+	repair  *kernel.Snapshot[repair]
+	planner planner
 }
 
 // New returns the service.
@@ -148,14 +154,15 @@
 		cursors:      newCursors(),
 		transfers:    newSlots(maxTransfers),
 		polls:        newSlots(maxPolls),
-		interimPolls: newSlots(maxInterimFollowers),
 		stopping:     make(chan struct{}),
 		role:         kernel.NewSnapshot(role{}),
 		synchronised: kernel.NewSnapshot[uint64](0),
+		contact:      kernel.NewSnapshot(model.ContactNone),
 		repair:       kernel.NewSnapshot(repair{}),
 		planner: planner{
 			exclusions: rank.NewExclusions(),
 			deferred:   make(map[model.InstanceID]model.Member),
+			following:  following{confirmed: make(map[peer]time.Time), wideLinks: make(map[string]time.Time)},
 		},
 		dial: c.Dial,
 	}
--- a/internal/service/exchange/follow.go
+++ b/internal/service/exchange/follow.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"slices"
 	"time"
 
 	"github.com/galenalever/galenalever/internal/control"
@@ -10,34 +9,36 @@
 	"github.com/galenalever/galenalever/internal/timeline"
 )
 
-// In a mesh whose nodes read the platform directly, a node whose link cannot carry
-// the configuration follows other nodes: their responses contain only the changes of a
-// version, not the whole version. While no node that it follows is in contact with
-// the platform, it reads the platform itself, if the platform responds. After an
-// outage it first gives the other nodes time to regain contact; otherwise all nodes
-// with slow links would read whole configurations at the same moment.
+// In direct mode the platform lists backend servers and nodes do not announce
+// themselves. A few nodes of each failure domain read the platform. The others follow
+// two of the nodes before them, from which they get members and configuration, and read
+// nothing. A node that hears from none of the nodes that it follows, or only that they
+// have lost the platform, reads the platform itself until one is in contact again.
+//
+// A reader that has lost the platform follows other readers until it responds again. A
+// reader whose link cannot carry the configuration asks nodes whose links can to read
+// in its place, and follows them. It learns their addresses from the polls of its
+// followers, which collect them from theirs. While it knows none, it follows other
+// readers, or reads itself.
 
 const (
-	// followerBackoff is how long a node that itself follows others is not polled
-	// again.
-	followerBackoff = 10 * time.Second
-	// lostContactBackoff is how long a node that has lost contact with the platform
-	// is not polled again. It is short because all nodes may lose contact at the
-	// same time.
+	// relayBackoff is how long a reader with a slow link does not poll a node that
+	// follows others itself.
+	relayBackoff = 3 * time.Second
+	// lostContactBackoff is how long a reader with a slow link does not poll a node
+	// that has lost contact with the platform. It is short because all nodes may lose
+	// contact at the same time.
 	lostContactBackoff = 500 * time.Millisecond
 	// recoveryGrace is the time that other nodes get to regain contact after an
-	// outage. They retry within half a second.
+	// outage, before a node with a slow link reads the whole configuration. They retry
+	// within half a second.
 	recoveryGrace = time.Second
-	// followerTimeout is how long after a configuration-only poll this node counts
-	// as followed.
-	followerTimeout = 5 * time.Second
-	// maxInterimFollowers is the number of nodes that may follow a node whose link
-	// cannot carry the configuration. A version with many changes is sent to each
-	// of them over that link.
-	maxInterimFollowers = 4
-	// followedInterval is the minimum time between two updates of
-	// following.lastPolled.
-	followedInterval = time.Second
+	// linkTimeout is how long after the last poll that names it a node counts as one
+	// whose link can carry the configuration, and how long after the last request of a
+	// slow reader a node reads in its place.
+	linkTimeout = 5 * time.Second
+	// maxWideLinks is the largest number of addresses in a poll.
+	maxWideLinks = 4
 )
 
 // following is the control state of a node in direct mode. It is accessed only by
@@ -45,67 +46,46 @@
 type following struct {
 	// configurationBytes is the size in bytes of the running configuration.
 	configurationBytes int
-	// confirmed holds, by upstream index, the peers whose last response reported
-	// contact with the platform.
-	confirmed [rank.MaxFollowed]peer
-	// lastPolled is the time of the last configuration-only poll from another node.
-	lastPolled time.Time
-	// platformUnreachable is true while the platform does not respond to this node.
-	// Until readAfter, which is set when the platform responds again, the node reads
-	// the configuration from its peers only.
-	platformUnreachable bool
-	readAfter           time.Time
-}
-
-// handlePlatformReached records whether the platform responds to this node. After an
-// outage a node with a slow link reads no configuration from it for recoveryGrace.
+	// confirmed holds the times of the last responses that allow this node to follow
+	// their senders. It includes nodes that it no longer follows.
+	confirmed map[peer]time.Time
+	// reached is true while the platform responds to this node. It is false while the
+	// node reads nothing.
+	reached bool
+	// unreachable is true from a failed call to the platform until the next successful
+	// one. Until readAfter, which is set after an outage, a node with a slow link reads no
+	// configuration.
+	unreachable bool
+	readAfter   time.Time
+	// wideLinks holds when a poll last named the node at a control address as one whose
+	// link can carry the configuration.
+	wideLinks map[string]time.Time
+	// readFor is the end of the time in which this node reads in place of slow readers.
+	readFor time.Time
+	// linkCheckScheduled is true while the timer of a linkCheck message runs.
+	linkCheckScheduled bool
+	// knownRevision is the revision of the platform up to which this node knows all
+	// changes from the nodes that it follows.
+	knownRevision model.Revision
+}
+
+// handlePlatformReached records whether the platform responds to this node.
 func (s *Service) handlePlatformReached(m control.PlatformReached) {
 	if !s.config.Direct {
 		return
 	}
 	f := &s.planner.following
-	f.platformUnreachable = !m.Reached
-	if m.Reached {
+	f.reached = m.Reached
+	if m.Reached && f.unreachable {
 		// Peers that did not respond may have been unreachable for the same reason.
 		s.planner.exclusions.Clear()
 		f.readAfter = s.clock.Now().Add(recoveryGrace)
 		s.loop.After(recoveryGrace, replan{})
 	}
+	f.unreachable = !m.Reached
 	s.updateRole()
 }
 
-// followed is the message that another node has polled this one for the
-// configuration.
-type followed struct{}
-
-// MessageName implements kernel.Message.
-func (followed) MessageName() string { return "followed" }
-
-// handleFollowed records that this node is followed, until followerTimeout has passed
-// without another poll.
-func (s *Service) handleFollowed() {
-	f, now := &s.planner.following, s.clock.Now()
-	if now.Sub(f.lastPolled) < followedInterval {
-		return
-	}
-	f.lastPolled = now
-	s.loop.After(followerTimeout+time.Millisecond, replan{})
-	s.updateRole()
-}
-
-// contact returns this node's contact with the platform, which responses to polls report.
-// It may be called from any goroutine.
-func (s *Service) contact() model.PlatformContact {
-	if s.source == nil {
-		return model.ContactNone
-	}
-	c := s.source.Contact()
-	if c == model.ContactCurrent && s.config.Direct && !s.role.Load().reader {
-		return model.ContactInterim
-	}
-	return c
-}
-
 func (s *Service) measureConfiguration(c *model.Configuration) {
 	size := 0
 	for _, subtree := range c.Running {
@@ -116,64 +96,214 @@
 	s.planner.following.configurationBytes = size
 }
 
-// assignDirect sets the role of a node in direct mode: whether it reads the
-// configuration from the platform, and which nodes it follows.
+// assignDirect sets the role of a node in direct mode: what it reads from the platform,
+// and which nodes it follows.
 func (s *Service) assignDirect(next *role, old role) {
 	f := &s.planner.following
-	next.followed = !f.lastPolled.IsZero() && s.clock.Now().Sub(f.lastPolled) < followerTimeout
-	if !s.planner.configured || rank.LinkCarriesConfiguration(s.config.Bandwidth, f.configurationBytes) {
-		next.reader, next.scope = true, control.ReadAll
-		f.confirmed = [rank.MaxFollowed]peer{}
-		return
-	}
-	next.scope = control.ReadAll
-	if f.platformUnreachable || s.clock.Now().Before(f.readAfter) {
-		next.scope = control.ReadInstances
-	}
 	var ids [rank.MaxFollowed]model.InstanceID
 	for i, p := range old.upstreams {
 		ids[i] = p.id
 	}
-	for i, m := range rank.Follow(s.members.Load(), s.config.Self, ids, s.evidence()) {
+	now := s.clock.Now()
+	carries := !s.planner.configured || rank.LinkCarriesConfiguration(s.config.Bandwidth, f.configurationBytes)
+	place := rank.Follow(s.members.Load(), s.config.Self, ids, f.isWide(now), s.evidence())
+	next.reader = place.Reader || carries && now.Before(f.readFor)
+	next.interim, next.scope = true, control.ReadAll
+	s.links.Store(f.newLinks(s.config.Self.Addresses.Control, carries && s.planner.configured, place.Reader && !carries, now))
+	if next.reader && carries {
+		next.interim = false
+		if !f.unreachable || !place.Reader {
+			clear(f.confirmed)
+			return
+		}
+	}
+	for i, m := range place.Upstreams {
 		next.upstreams[i] = peerOf(m)
-		if f.confirmed[i] != next.upstreams[i] {
-			f.confirmed[i] = peer{}
+	}
+	switch {
+	case !next.interim: // reads on, to notice that the platform responds again
+	case s.informed():
+		next.scope = control.ReadNothing
+	case !carries && (f.unreachable || now.Before(f.readAfter)):
+		next.scope = control.ReadInstances
+	}
+}
+
+// links is what the polls of a node tell other nodes about links. It is immutable.
+type links struct {
+	// slowReader is true if this node is a reader whose link cannot carry the
+	// configuration.
+	slowReader bool
+	// wide holds the control addresses of nodes whose links can.
+	wide []string
+}
+
+func (f *following) isWide(now time.Time) func(address string) bool {
+	return func(address string) bool {
+		at, ok := f.wideLinks[address]
+		return ok && now.Sub(at) < linkTimeout
+	}
+}
+
+// newLinks returns what polls tell from now on. The same addresses are chosen on all
+// nodes that know them.
+func (f *following) newLinks(own string, carries, slowReader bool, now time.Time) *links {
+	isWide := f.isWide(now)
+	var wide []string
+	for address := range f.wideLinks {
+		if isWide(address) {
+			wide = append(wide, address)
+		} else {
+			delete(f.wideLinks, address)
+		}
+	}
+	if carries {
+		wide = append(wide, own)
+	}
+	rank.SortAddresses(wide)
+	return &links{slowReader: slowReader, wide: wide[:min(len(wide), maxWideLinks)]}
+}
+
+// polled is the message that another node has polled this one in direct mode. Its
+// fields are those of wire.PollRequest.
+type polled struct {
+	slowReader bool
+	wide       []string
+}
+
+// MessageName implements kernel.Message.
+func (polled) MessageName() string { return "polled" }
+
+func (s *Service) handlePolled(m polled) {
+	f, now := &s.planner.following, s.clock.Now()
+	isWide, changed := f.isWide(now), false
+	for _, address := range m.wide[:min(len(m.wide), maxWideLinks)] {
+		if address != s.config.Self.Addresses.Control {
+			changed = changed || !isWide(address)
+			f.wideLinks[address] = now
 		}
-		if f.confirmed[i] != (peer{}) {
-			next.scope = control.ReadInstances
+	}
+	if m.slowReader {
+		changed = changed || now.After(f.readFor)
+		f.readFor = now.Add(linkTimeout)
+	}
+	if changed {
+		s.scheduleReplan(replanDelay)
+	}
+	if !f.linkCheckScheduled {
+		f.linkCheckScheduled = true
+		s.loop.After(linkTimeout, linkCheck{})
+	}
+}
+
+// linkCheck is the timer message that updates the role, since what polls told about
+// links may have expired.
+type linkCheck struct{}
+
+// MessageName implements kernel.Message.
+func (linkCheck) MessageName() string { return "link-check" }
+
+// handleLinkCheck ends with the first check after the last poll.
+func (s *Service) handleLinkCheck() {
+	s.planner.following.linkCheckScheduled = false
+	s.updateRole()
+}
+
+// informed reports whether a node that this one follows, or did until a short time ago,
+// has reported contact with the platform a short time ago.
+func (s *Service) informed() bool {
+	now, informed := s.clock.Now(), false
+	for from, at := range s.planner.following.confirmed {
+		if now.Sub(at) < s.config.PollTimes.MaxSilence {
+			informed = true
+		} else {
+			delete(s.planner.following.confirmed, from)
 		}
 	}
+	return informed
 }
 
-// confirmUpstream records that a peer may be followed, which depends on where it
-// gets its configuration, and reports whether it may. If not, it excludes the peer
-// for a time and updates the role, which selects another one.
-func (s *Service) confirmUpstream(m pollDone) bool {
+// updateContact publishes this node's contact with the platform, which ends the wait of
+// the polls that it serves.
+func (s *Service) updateContact(r role) {
 	f := &s.planner.following
-	if rank.MayFollow(s.config.Self, m.from.address, m.contact) {
-		if f.confirmed[m.upstreamIndex] != m.from && s.role.Load().upstreams[m.upstreamIndex] == m.from {
-			f.confirmed[m.upstreamIndex] = m.from
+	contact := model.ContactLost
+	switch {
+	case r.scope == control.ReadAll && f.reached && r.interim:
+		contact = model.ContactInterim
+	case r.scope == control.ReadAll && f.reached:
+		contact = model.ContactCurrent
+	case s.informed():
+		contact = model.ContactRelayed
+	}
+	if contact != s.contact.Load() {
+		s.contact.Store(contact)
+		s.log.Info("contact with the platform changed", "contact", contact.String(), "reader", r.reader)
+	}
+}
+
+// confirmUpstream records the response of a peer and reports whether this node may
+// follow it. A reader with a slow link then excludes the peer for a time, which selects
+// another one.
+func (s *Service) confirmUpstream(m pollDone) bool {
+	f, current := &s.planner.following, s.role.Load()
+	if current.upstreams[m.upstreamIndex] != m.from || m.withoutMembers {
+		return false // the role has changed since the poll, or the next poll gets the members
+	}
+	if rank.MayFollow(s.config.Self, current.reader, m.from.address, m.contact) {
+		if _, known := f.confirmed[m.from]; !known {
 			s.timeline.Record(timeline.KindUpstreamChanged, m.from.name())
-			s.updateRole()
 		}
+		f.confirmed[m.from] = s.clock.Now()
+		if c := s.configuration.Load(); !current.reader && c != nil && c.Cut.Revision >= m.cutRevision {
+			f.knownRevision = max(f.knownRevision, m.platformRevision)
+			s.known.Store(uint64(f.knownRevision))
+		}
+		s.loop.After(s.config.PollTimes.MaxSilence, silenceCheck{})
+		s.updateRole()
 		return true
 	}
-	backoff := followerBackoff
-	if m.contact == model.ContactLost {
-		backoff = lostContactBackoff
-	}
 	s.stopFollowing(m.from)
-	s.planner.exclusions.MarkBusy(m.from.id, s.clock.Now().Add(backoff))
-	s.loop.After(backoff+time.Millisecond, replan{})
+	if current.reader {
+		backoff := relayBackoff
+		if m.contact == model.ContactLost {
+			backoff = lostContactBackoff
+		}
+		s.planner.exclusions.MarkBusy(m.from.id, s.clock.Now().Add(backoff))
+		s.loop.After(backoff+time.Millisecond, replan{})
+	}
 	s.updateRole()
 	return false
 }
 
+// silenceCheck is the timer message that may end the time in which this node is
+// informed.
+type silenceCheck struct{}
+
+// MessageName implements kernel.Message.
+func (silenceCheck) MessageName() string { return "silence-check" }
+
+// handleSilenceCheck updates the role if the nodes that this one follows are silent.
+func (s *Service) handleSilenceCheck() {
+	if s.config.Direct && !s.informed() {
+		s.updateRole()
+	}
+}
+
 // stopFollowing removes a peer from the confirmed upstreams.
 func (s *Service) stopFollowing(p peer) {
-	f := &s.planner.following
-	if i := slices.Index(f.confirmed[:], p); i >= 0 && p != (peer{}) {
-		f.confirmed[i] = peer{}
+	if _, known := s.planner.following.confirmed[p]; known {
+		delete(s.planner.following.confirmed, p)
 		s.log.Info("peer is not followed any longer", "peer", p.name())
 	}
 }
+
+// platformRevision returns the revision of the platform up to which this node knows all
+// changes, or 0. It is safe for concurrent use.
+func (s *Service) platformRevision() model.Revision {
+	known := model.Revision(s.known.Load())
+	if s.source != nil {
+		known = max(known, s.source.Revision())
+	}
+	return known
+}
--- a/internal/service/exchange/planner.go
+++ b/internal/service/exchange/planner.go
@@ -40,16 +40,14 @@
 // role determines what the I/O goroutines do. The control loop publishes it as a
 // snapshot.
 type role struct {
-	// reader is true if the node gets the configuration from the platform: as a reader of
-	// its failure domain or, in direct mode, because its link can carry the configuration
-	// or it has none yet.
+	// reader is true if the node reads the platform for its failure domain.
 	reader bool
 	// upstreams are the nodes to poll. Outside of direct mode only the first is used.
 	upstreams [rank.MaxFollowed]peer
 	// scope is what the node reads from the platform.
 	scope control.ReadScope
-	// followed is true while other nodes get the configuration from this one.
-	followed bool
+	// interim is true if the node reads only until it can follow another one.
+	interim bool
 	// readerIndex is rank.Role.ReaderIndex.
 	readerIndex int
 	// generation is incremented after each pause of the process. The response to a
@@ -115,7 +113,9 @@
 	kernel.Subscribe(loop, s.handleUndelivered)
 	kernel.Subscribe(loop, s.handleResend)
 	kernel.Subscribe(loop, func(reannounce) { s.handleReannounce() })
-	kernel.Subscribe(loop, func(followed) { s.handleFollowed() })
+	kernel.Subscribe(loop, func(silenceCheck) { s.handleSilenceCheck() })
+	kernel.Subscribe(loop, s.handlePolled)
+	kernel.Subscribe(loop, func(linkCheck) { s.handleLinkCheck() })
 	kernel.Subscribe(loop, s.handlePlatformReached)
 }
 
@@ -147,18 +147,18 @@
 }
 
 func (s *Service) handleMembersChanged(m control.MembersChanged) {
-	if s.config.Direct {
-		s.scheduleReplan(replanDelay)
-		return
-	}
 	for _, changed := range m.Changed {
-		if changed.ID == s.config.Self.ID {
+		if changed.ID == s.config.Self.ID && !s.config.Direct {
 			s.announce([]model.Member{changed})
 		}
 		if rank.Eligible(&changed) {
 			s.planner.exclusions.Restore(changed.ID) // its process may have restarted
 		}
 	}
+	if s.config.Direct && !s.informed() {
+		s.updateRole() // the members may name the first node to follow
+		return
+	}
 	s.scheduleReplan(replanDelay)
 }
 
@@ -168,6 +168,8 @@
 	s.planner.exclusions.Clear()
 	s.planner.failures = 0
 	s.planner.synchronised = false
+	s.planner.following.reached = false
+	clear(s.planner.following.confirmed)
 	next := s.role.Load()
 	next.generation++
 	s.role.Store(next)
@@ -204,6 +206,12 @@
 	case s.planner.configured || s.planner.bootstrapOver:
 		s.assignInTree(&next, old)
 	}
+	if s.config.Direct {
+		if old.scope == control.ReadNothing && next.scope != old.scope {
+			s.planner.following.reached = false // until the platform responds
+		}
+		s.updateContact(next)
+	}
 	if next == old {
 		return
 	}
@@ -211,8 +219,11 @@
 	if next.upstreams[0] != old.upstreams[0] && !s.config.Direct {
 		s.timeline.Record(timeline.KindUpstreamChanged, next.upstreams[0].name())
 	}
-	if next.scope != old.scope || next.readerIndex != old.readerIndex || next.followed != old.followed {
-		s.loop.Emit(control.ReadScopeChanged{Scope: next.scope, ReaderIndex: next.readerIndex, Followed: next.followed})
+	if next.scope != old.scope || next.readerIndex != old.readerIndex || next.interim != old.interim {
+		s.loop.Emit(control.ReadScopeChanged{
+			Scope: next.scope, ReaderIndex: next.readerIndex, Interim: next.interim,
+			Known: s.planner.following.knownRevision,
+		})
 	}
 }
 
--- a/internal/service/exchange/poll.go
+++ b/internal/service/exchange/poll.go
@@ -24,8 +24,6 @@
 	// compare requests a comparison of the members by digests. The position in the
 	// peer's member log is neither sent nor stored.
 	compare bool
-	// configurationOnly excludes members from the response.
-	configurationOnly bool
 	// upstreamIndex is the index of the peer in role.upstreams.
 	upstreamIndex int
 	// generation is that of the role when the poll was sent.
@@ -65,7 +63,7 @@
 func (s *Service) call(ctx context.Context, p peer, options pollOptions, request *wire.PollRequest) (*wire.PollResponse, error) {
 	ctx, progress, cancel := clock.WithIdleTimeout(ctx, s.clock, options.timeout(request, s.config.PollTimes.Margin), s.config.PollTimes.Margin)
 	defer cancel()
-	ctx = context.WithValue(ctx, responseOptionsKey{}, responseOptions{onProgress: progress, following: options.configurationOnly})
+	ctx = context.WithValue(ctx, responseOptionsKey{}, responseOptions{onProgress: progress, following: s.config.Direct})
 	response, err := s.dial(p.address).Poll(ctx, request)
 	if err != nil {
 		return nil, err
@@ -81,12 +79,11 @@
 		Bootstrap:        options.bootstrap,
 		Time:             uint64(s.timeline.Clock().Now()),
 	}
+	if links := s.links.Load(); links != nil {
+		request.SlowReader, request.WideLinks = links.slowReader, links.wide
+	}
 	s.setBase(request, options)
 	s.setRunning(request, options)
-	if options.configurationOnly {
-		request.ConfigurationOnly = true
-		return request
-	}
 	if options.bootstrap {
 		return request
 	}
@@ -142,12 +139,14 @@
 	}
 	done := pollDone{
 		from: p, upstreamIndex: options.upstreamIndex, generation: options.generation,
-		contact: wireconv.ContactFromWire(response.GetContact()), handled: make(chan struct{}),
+		contact: wireconv.ContactFromWire(response.GetContact()), platformRevision: model.Revision(response.GetPlatformRevision()),
+		cutRevision: delta.Revision, handled: make(chan struct{}),
+		withoutMembers: response.GetMemberEpoch() == 0,
 	}
 	if err := s.loop.PostAndWait(ctx, done.handled, append(messages, done)...); err != nil {
 		return err
 	}
-	if !options.compare && !options.configurationOnly {
+	if !options.compare {
 		s.cursors.set(p.address, members.Cursor{Epoch: response.GetMemberEpoch(), Position: response.GetMemberPosition()})
 	}
 	return nil
--- a/internal/service/exchange/poller.go
+++ b/internal/service/exchange/poller.go
@@ -61,9 +61,12 @@
 // date.
 func (s *Service) pollUpstream(ctx context.Context, r role, index int) (responded bool) {
 	upstream := r.upstreams[index]
-	options := pollOptions{generation: r.generation, upstreamIndex: index, configurationOnly: s.config.Direct}
+	options := pollOptions{generation: r.generation, upstreamIndex: index}
 	for ctx.Err() == nil {
 		options.bootstrap = !s.hasConfiguration()
+		if s.config.Direct && options.bootstrap {
+			options.wait = s.config.PollTimes.Wait // the peer may be starting, too
+		}
 		err := s.poll(ctx, upstream, options)
 		switch {
 		case ctx.Err() != nil:
--- a/internal/service/exchange/results.go
+++ b/internal/service/exchange/results.go
@@ -15,8 +15,14 @@
 	upstreamIndex int
 	// generation is that of the role when the poll was sent.
 	generation uint64
-	// contact is the peer's contact with the platform.
-	contact model.PlatformContact
+	// contact is the peer's contact with the platform, and platformRevision the revision
+	// of the platform up to which it knew all changes.
+	contact          model.PlatformContact
+	platformRevision model.Revision
+	// cutRevision is the revision of the peer's cut.
+	cutRevision model.Revision
+	// withoutMembers is true if the peer first needs the digests of this node's members.
+	withoutMembers bool
 	// handled is closed when all messages of the response have been handled.
 	handled chan struct{}
 }
--- a/internal/service/exchange/server.go
+++ b/internal/service/exchange/server.go
@@ -39,22 +39,10 @@
 		return s.refusal(model.InstanceID(request.GetNode())), nil
 	}
 	defer s.polls.release()
-	q := parseQuery(request)
-	if q.configurationOnly {
-		if !s.role.Load().reader {
-			if !s.interimPolls.tryAcquire() {
-				return s.refusal(q.from), nil
-			}
-			defer s.interimPolls.release()
-		}
-		s.loop.TryPost(followed{}) // if it is lost, the next poll posts it again
-	}
-	if q.wantsFullConfiguration() {
-		if !s.transfers.tryAcquire() {
-			return s.refusal(q.from), nil
-		}
-		defer s.transfers.release()
+	if s.config.Direct {
+		s.loop.TryPost(polled{slowReader: request.GetSlowReader(), wide: request.GetWideLinks()}) // if it is lost, the next poll posts it again
 	}
+	q := parseQuery(request)
 	return s.awaitChange(ctx, q)
 }
 
@@ -72,8 +60,6 @@
 	digests   []uint64
 	wait      time.Duration
 	bootstrap bool
-	// configurationOnly excludes members from the response.
-	configurationOnly bool
 }
 
 func parseQuery(request *wire.PollRequest) query {
@@ -87,40 +73,48 @@
 		digests:   request.GetMemberBuckets(),
 		wait:      min(wait, maxPollWait),
 		bootstrap: request.GetBootstrap(),
-
-		configurationOnly: request.GetConfigurationOnly(),
 	}
 }
 
 func (q query) wantsFullConfiguration() bool { return q.bootstrap || q.base == 0 }
 
 // awaitChange returns a response as soon as there are changes that the caller
-// lacks, or when the caller's wait has elapsed. After a pause of this process, a change
-// ends the wait only once the node is up to date again. A node without a configuration
-// refuses the poll.
+// lacks, when this node's contact with the platform changes, or when the caller's wait
+// has elapsed. After a pause of this process, a change ends the wait only once the node
+// is up to date again. A node without a configuration refuses the poll; in direct mode
+// it first waits for one.
 func (s *Service) awaitChange(ctx context.Context, q query) (*wire.PollResponse, error) {
 	elapsed := make(chan struct{})
 	timer := s.clock.AfterFunc(q.wait, func() { close(elapsed) })
 	defer timer.Stop()
+	_, contactChanged := s.contact.Watch()
 	for {
-		configuration, configurationChanged := s.configuration.Watch()
-		view, viewChanged := s.members.Watch()
+		_, configurationChanged := s.configuration.Watch()
+		_, viewChanged := s.members.Watch()
 		_, synchronised := s.synchronised.Watch()
-		if configuration == nil || configuration.Cut.Revision == 0 {
+		state := s.loadState()
+		if !state.configured() && (q.wait <= 0 || !s.config.Direct) {
 			return s.refusal(q.from), nil
 		}
-		changed := hasChanges(configuration, view, q) || s.shouldOffer(configuration, q)
-		if q.wait <= 0 || (changed && s.watchdog.Fresh()) {
-			return s.newResponse(configuration, view, q), nil
+		if state.configured() {
+			changed := hasChanges(state, q) || s.shouldOffer(state.configuration, q)
+			if q.wait <= 0 || (changed && s.watchdog.Fresh()) {
+				return s.newResponse(state, q), nil
+			}
 		}
 		select {
 		case <-configurationChanged:
 		case <-viewChanged:
 		case <-synchronised:
+		case <-contactChanged:
+			q.wait = 0 // the next iteration responds
+			continue
 		case <-elapsed:
-			return s.newResponse(s.configuration.Load(), s.members.Load(), q), nil
+			q.wait = 0
+			continue
 		case <-s.stopping:
-			return s.newResponse(configuration, view, q), nil
+			q.wait = 0
+			continue
 		case <-ctx.Done():
 			return nil, twirp.NewError(twirp.Canceled, ctx.Err().Error())
 		}
@@ -128,21 +122,46 @@
 	}
 }
 
-func hasChanges(configuration *model.Configuration, view *members.View, q query) bool {
-	if q.bootstrap || len(q.wholeKeys) > 0 || configuration.Cut.Revision > q.base {
+// state is what a response to a poll is made from.
+type state struct {
+	// platformRevision was loaded before the rest, which includes all changes up to it.
+	platformRevision model.Revision
+	configuration    *model.Configuration
+	view             *members.View
+}
+
+func (s *Service) loadState() state {
+	revision := s.platformRevision()
+	return state{platformRevision: revision, configuration: s.configuration.Load(), view: s.members.Load()}
+}
+
+func (s state) configured() bool {
+	return s.configuration != nil && s.configuration.Cut.Revision > 0
+}
+
+func hasChanges(current state, q query) bool {
+	if q.bootstrap || len(q.wholeKeys) > 0 || current.configuration.Cut.Revision > q.base {
 		return true
 	}
-	return !q.configurationOnly && view.Cursor() != q.cursor
+	return current.view.Cursor() != q.cursor
 }
 
-// newResponse returns the changes that the caller lacks.
-func (s *Service) newResponse(configuration *model.Configuration, view *members.View, q query) *wire.PollResponse {
-	response := &wire.PollResponse{Time: uint64(s.timeline.Clock().Now())}
-	wireconv.SetDelta(response, s.configurationDelta(configuration, q))
-	response.Contact = wireconv.ContactToWire(s.contact())
-	if !q.configurationOnly {
-		s.addMembers(response, view, q)
+// newResponse returns the changes that the caller lacks, or a refusal if the caller needs
+// the complete configuration while others are sent.
+func (s *Service) newResponse(current state, q query) *wire.PollResponse {
+	if q.wantsFullConfiguration() {
+		if !s.transfers.tryAcquire() {
+			return s.refusal(q.from)
+		}
+		defer s.transfers.release()
+	}
+	response := &wire.PollResponse{
+		Time:             uint64(s.timeline.Clock().Now()),
+		Contact:          wireconv.ContactToWire(s.contact.Load()),
+		PlatformRevision: uint64(current.platformRevision),
 	}
+	wireconv.SetDelta(response, s.configurationDelta(current.configuration, q))
+	s.addMembers(response, current.view, q)
 	return response
 }
 
--- a/internal/service/exchange/status.go
+++ b/internal/service/exchange/status.go
@@ -4,7 +4,13 @@
 
 // Status is the section of the exchange service on the status page.
 type Status struct {
+	// Reader is true if this node reads the platform for its failure domain.
 	Reader bool `json:"reader"`
+	// Reads is what this node reads from the platform at present.
+	Reads string `json:"reads"`
+	// Contact is this node's contact with the platform, as it reports it to the nodes
+	// that follow it.
+	Contact string `json:"contact"`
 	// Upstream is the node that this node polls, or the first one that it follows.
 	Upstream model.InstanceID `json:"upstream,omitempty"`
 	// Second is the second node that this node follows.
@@ -23,6 +29,8 @@
 	received, sent := s.ControlBytes()
 	return Status{
 		Reader:   role.reader,
+		Reads:    role.scope.String(),
+		Contact:  s.contact.Load().String(),
 		Upstream: role.upstreams[0].id,
 		Second:   role.upstreams[1].id,
 		Fresh:    s.watchdog.Fresh(),
--- a/internal/service/source/client.go
+++ b/internal/service/source/client.go
@@ -94,7 +94,7 @@
 	if err := c.caller.Get(ctx, "/v1/instances", watchQuery(after, wait), wait, callTimeout, &list); err != nil {
 		return InstanceListing{}, err
 	}
-	out := InstanceListing{Revision: model.Revision(list.Revision)}
+	out := InstanceListing{Revision: model.Revision(list.Revision), Complete: after == 0}
 	for _, i := range list.Instances {
 		out.Members = append(out.Members, i.member())
 	}
--- a/internal/service/source/instances.go
+++ b/internal/service/source/instances.go
@@ -19,10 +19,17 @@
 // first listing of an assignment does not wait for a change.
 func (s *Service) watchInstances(ctx context.Context, retry *retrier, current assignment) {
 	var wait time.Duration
+	reached, reported := false, false
+	report := func(ok bool) {
+		if (ok != reached || !reported) && ctx.Err() == nil {
+			reached, reported = ok, true
+			_ = s.loop.Post(ctx, control.PlatformReached{Reached: ok}) // fails with the context only
+		}
+	}
 	for ctx.Err() == nil {
-		received, err := s.listInstances(ctx, s.removalHold.Wait(wait, s.clock.Now()))
+		list, err := s.listInstances(ctx, s.removalHold.Wait(wait, s.clock.Now()))
 		if err != nil {
-			s.reportReachability(ctx, retry, false)
+			report(false)
 			retry.failed(ctx, err)
 			wait = waitAfterFailure
 			continue
@@ -31,20 +38,20 @@
 		if retry.failures > 0 {
 			s.removalHold.PlatformRecovered(now)
 		}
-		s.reportReachability(ctx, retry, true)
 		retry.succeeded()
-		wait = s.watchWait()
-		s.postMembers(ctx, s.holdRemovals(received, now), current)
+		if list.Partial {
+			_ = s.loop.Post(ctx, membersOf(list.Members)) // the next listing continues this one
+			continue
+		}
+		wait = s.config.Pacing.WatchWait
+		s.postMembers(ctx, s.holdRemovals(list.Members, now), list.Revision, current)
+		report(true) // other nodes may now rely on what this one knows
 		s.awaitListInterval(ctx)
 	}
 }
 
-// reportReachability posts PlatformReached when a call ends a series of failures or
-// begins one. It must be called before retry counts the result of the call.
-func (s *Service) reportReachability(ctx context.Context, retry *retrier, ok bool) {
-	if ok == (retry.failures > 0) && ctx.Err() == nil {
-		_ = s.loop.Post(ctx, control.PlatformReached{Reached: ok}) // fails with the context only
-	}
+func membersOf(received []model.Member) control.MembersReceived {
+	return control.MembersReceived{From: control.Origin{Platform: true}, Members: received}
 }
 
 // holdRemovals delays removals that a platform outage may have caused, since
@@ -58,35 +65,44 @@
 	return append(passed, s.removalHold.Due(now)...)
 }
 
-func (s *Service) postMembers(ctx context.Context, received []model.Member, current assignment) {
+// postMembers posts the changes up to a revision. While removals are held back, not all
+// changes are known.
+func (s *Service) postMembers(ctx context.Context, received []model.Member, revision model.Revision, current assignment) {
 	var messages []kernel.Message
 	if len(received) > 0 {
-		messages = append(messages, control.MembersReceived{From: control.Origin{Platform: true}, Members: received})
+		messages = append(messages, membersOf(received))
+	}
+	done := listingRead{listing: listingInstances, round: current.round, revision: revision, handled: make(chan struct{})}
+	if s.removalHold.Holding() {
+		done.revision = 0
 	}
-	s.postAndWait(ctx, listingRead{listing: listingInstances, round: current.round, handled: make(chan struct{})}, messages...)
+	s.postAndWait(ctx, done, messages...)
 }
 
-// listInstances returns the members that changed. From a complete listing, it also
-// returns removal records for the known instances that are missing in it. A response
-// that is older than an earlier one is rejected with platformread.ErrStale.
-func (s *Service) listInstances(ctx context.Context, wait time.Duration) ([]model.Member, error) {
+// listInstances returns the changes of the instance list. It adds to a complete listing
+// removal records for the known instances that are missing in it. A response that is
+// older than an earlier one is rejected with platformread.ErrStale.
+func (s *Service) listInstances(ctx context.Context, wait time.Duration) (InstanceListing, error) {
 	if err := s.awaitRateLimit(ctx); err != nil {
-		return nil, err
+		return InstanceListing{}, err
 	}
 	after := s.instancesRevision
 	list, err := s.config.Platform.Instances(ctx, after, wait)
 	if err != nil {
-		return nil, err
+		return InstanceListing{}, err
 	}
-	if list.Revision < after {
-		return nil, platformread.ErrStale
-	}
-	s.instancesRevision = list.Revision
 	for _, invalid := range list.InvalidEntries {
 		s.log.Warn("invalid entry in the platform's instance list", "error", invalid, "listed_at", list.Revision)
 	}
-	if after > 0 && !list.Complete {
-		return list.Members, nil
+	if list.Partial {
+		return list, nil
+	}
+	if list.Revision < after {
+		return InstanceListing{}, platformread.ErrStale
+	}
+	s.instancesRevision = list.Revision
+	if list.Complete {
+		list.Members = append(list.Members, platformread.RemovedInstances(s.members.Load(), list.Revision, list.Members)...)
 	}
-	return append(list.Members, platformread.RemovedInstances(s.members.Load(), list.Revision, list.Members)...), nil
+	return list, nil
 }
--- a/internal/service/source/keys.go
+++ b/internal/service/source/keys.go
@@ -24,16 +24,14 @@
 			assembler = platformread.NewAssembler(base)
 		}
 		if err := s.assemble(ctx, assembler, wait); err != nil {
-			s.keysListed.Store(false)
 			retry.failed(ctx, err)
 			continue
 		}
 		retry.succeeded()
-		s.keysListed.Store(true)
 		s.postCut(ctx, assembler, current)
 		s.awaitListInterval(ctx)
 		assembler = platformread.NewAssembler(s.knownCut())
-		wait = s.watchWait()
+		wait = s.config.Pacing.WatchWait
 	}
 }
 
@@ -51,7 +49,8 @@
 		messages = append(messages, control.CutReceived{Cut: cut})
 	}
 	posted := s.clock.Now()
-	s.postAndWait(ctx, listingRead{listing: listingKeys, round: current.round, handled: make(chan struct{})}, messages...)
+	done := listingRead{listing: listingKeys, round: current.round, revision: assembler.After(), handled: make(chan struct{})}
+	s.postAndWait(ctx, done, messages...)
 	s.logRead(cut.Revision, s.decodeTime, s.clock.Now().Sub(posted))
 	s.decodeTime = 0
 }
--- a/internal/service/source/platform.go
+++ b/internal/service/source/platform.go
@@ -53,8 +53,11 @@
 	// InvalidEntries holds an error for each entry that identifies no instance.
 	InvalidEntries []error
 	// Complete is true if the listing contains all instances, not only those that
-	// changed. A listing after revision 0 is always complete.
+	// changed.
 	Complete bool
+	// Partial is true if the listing contains only some of the instances, and the next
+	// one continues it. Its revision is 0.
+	Partial bool
 }
 
 // Platform reads the platform's configuration service. Keys and Instances list the
--- a/internal/service/source/retry.go
+++ b/internal/service/source/retry.go
@@ -39,13 +39,17 @@
 	if r.failures == 1 {
 		r.service.timeline.Record(timeline.KindSourceFailed, r.purpose+": "+err.Error())
 	}
-	_ = clock.Wait(ctx, r.service.clock, r.service.config.Pacing.delay(r.failures, err, r.rng))
+	_ = clock.Wait(ctx, r.service.clock, r.service.config.Pacing.delay(r.failures, r.service.interim.Load(), err, r.rng))
 }
 
 // delay returns the time to wait before the next call after consecutive failures,
-// of which err is the last.
-func (p Pacing) delay(failures int, err error, rng *rand.Rand) time.Duration {
-	delay := p.Retry.Delay(failures, rng)
+// of which err is the last. interim is control.ReadScopeChanged.Interim.
+func (p Pacing) delay(failures int, interim bool, err error, rng *rand.Rand) time.Duration {
+	policy := p.Retry
+	if interim {
+		policy = p.InterimRetry
+	}
+	delay := policy.Delay(failures, rng)
 	var busy *BusyError
 	if errors.As(err, &busy) {
 		delay += min(busy.RetryAfter, p.MaxRetryAfter)
--- a/internal/service/source/scope.go
+++ b/internal/service/source/scope.go
@@ -1,8 +1,6 @@
 package source
 
 import (
-	"time"
-
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
@@ -12,43 +10,28 @@
 func (s *Service) handleScope(m control.ReadScopeChanged) {
 	old := s.assignment.Load()
 	s.readerIndex.Store(int64(m.ReaderIndex))
-	s.followed.Store(m.Followed)
+	s.interim.Store(m.Interim)
 	if m.Scope == old.scope {
 		return
 	}
-	s.keysListed.Store(false) // until the next listing of keys succeeds
-	if client, ok := s.config.Platform.(keyReadSwitch); ok {
-		client.ReadKeys(m.Scope >= control.ReadAll)
+	if client, ok := s.config.Platform.(scopeObserver); ok {
+		client.SetScope(m.Scope, m.Known)
 	}
 	s.assignment.Store(assignment{scope: m.Scope, round: old.round})
 	s.recordScope(old.scope, m.Scope)
 }
 
-// keyReadSwitch is a platform client that reads less while no keys are listed.
-type keyReadSwitch interface {
-	// ReadKeys announces whether Keys will be called. It does not block.
-	ReadKeys(wanted bool)
-}
-
-// Contact reports whether this node reads its configuration from the platform and
-// whether the last listing of keys succeeded. It is safe for concurrent use.
-func (s *Service) Contact() model.PlatformContact {
-	switch {
-	case s.assignment.Load().scope < control.ReadAll:
-		return model.ContactNone
-	case !s.keysListed.Load():
-		return model.ContactLost
-	default:
-		return model.ContactCurrent
-	}
+// scopeObserver is a platform client whose calls depend on what will be listed.
+type scopeObserver interface {
+	// SetScope announces which listings will be requested, and the revision up to which
+	// the node knows all changes from other nodes, 0 if unknown. It does not block.
+	SetScope(scope control.ReadScope, known model.Revision)
 }
 
-// watchWait returns the long-poll wait of a listing.
-func (s *Service) watchWait() time.Duration {
-	if s.followed.Load() {
-		return s.config.Pacing.FollowedWait
-	}
-	return s.config.Pacing.WatchWait
+// Revision returns the revision up to which this node has read all changes from the
+// platform, or 0. It is safe for concurrent use.
+func (s *Service) Revision() model.Revision {
+	return min(model.Revision(s.revisions[listingKeys].Load()), model.Revision(s.revisions[listingInstances].Load()))
 }
 
 // recordScope logs a change of the scope. It records in the timeline that this node
--- a/internal/service/source/source.go
+++ b/internal/service/source/source.go
@@ -30,15 +30,12 @@
 	// ListInterval is the minimum time between two listings by the first reader;
 	// later ones wait longer. Changes within one interval are read together.
 	ListInterval time.Duration
-	// Retry is the backoff after failed calls.
-	Retry backoff.Policy
+	// Retry is the backoff after failed calls, and InterimRetry that of a node that
+	// reads only until it can follow another one: in an outage all nodes do.
+	Retry, InterimRetry backoff.Policy
 	// MaxRetryAfter limits the additional delay that the platform can request,
 	// because the platform does not know how soon a node must be current again.
 	MaxRetryAfter time.Duration
-	// FollowedWait replaces WatchWait while other nodes get their configuration
-	// from this one. It bounds how late they learn that this node cannot reach the
-	// platform.
-	FollowedWait time.Duration
 	// StartJitter limits the random delay before the first call of a node that
 	// became a reader. The limit grows by StartJitter for each reader before it.
 	StartJitter time.Duration
@@ -49,10 +46,10 @@
 	WatchWait:    30 * time.Second,
 	ListInterval: time.Second,
 	Retry:        backoff.Policy{Base: 3 * time.Second, Max: 30 * time.Second},
+	InterimRetry: backoff.Policy{Base: 3 * time.Second, Max: 30 * time.Second},
 
 	MaxRetryAfter: time.Minute,
 
-	FollowedWait: 30 * time.Second,
 	// During mass restarts many nodes are readers for a short time.
 	StartJitter: 2 * time.Second,
 }
@@ -108,13 +105,13 @@
 	assignment *kernel.Snapshot[assignment]
 	// readerIndex is the number of readers that come before this one.
 	readerIndex atomic.Int64
-	// followed is true while other nodes get their configuration from this one.
-	followed atomic.Bool
-	// keysListed is true if the last listing of keys succeeded.
-	keysListed atomic.Bool
-	limiter    *rate.Limiter
-	cancel     context.CancelFunc
-	tasks      sync.WaitGroup
+	// interim is control.ReadScopeChanged.Interim.
+	interim atomic.Bool
+	// revisions holds, by listing, the revision up to which all changes are known.
+	revisions [listingCount]atomic.Uint64
+	limiter   *rate.Limiter
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
 	// confirmed holds the listings that were confirmed in the current round. It is
 	// used on the control loop only.
 	confirmed map[listing]bool
@@ -142,6 +139,7 @@
 const (
 	listingKeys listing = iota
 	listingInstances
+	listingCount
 )
 
 // New returns the service.
@@ -202,6 +200,8 @@
 type listingRead struct {
 	listing listing
 	round   uint64
+	// revision is the revision up to which all changes are known, or 0 if unknown.
+	revision model.Revision
 	// handled is closed once the control loop has handled the message.
 	handled chan struct{}
 }
@@ -213,6 +213,8 @@
 // round for the first time.
 func (s *Service) handleRead(m listingRead) {
 	defer close(m.handled)
+	known := &s.revisions[m.listing]
+	known.Store(max(known.Load(), uint64(m.revision)))
 	if m.round != s.assignment.Load().round {
 		return
 	}
--- a/internal/wire/wireconv/contact.go
+++ b/internal/wire/wireconv/contact.go
@@ -12,6 +12,8 @@
 		return wire.PlatformContact_PLATFORM_CONTACT_CURRENT
 	case model.ContactInterim:
 		return wire.PlatformContact_PLATFORM_CONTACT_INTERIM
+	case model.ContactRelayed:
+		return wire.PlatformContact_PLATFORM_CONTACT_RELAYED
 	case model.ContactLost:
 		return wire.PlatformContact_PLATFORM_CONTACT_LOST
 	default:
@@ -27,6 +29,8 @@
 		return model.ContactCurrent
 	case wire.PlatformContact_PLATFORM_CONTACT_INTERIM:
 		return model.ContactInterim
+	case wire.PlatformContact_PLATFORM_CONTACT_RELAYED:
+		return model.ContactRelayed
 	case wire.PlatformContact_PLATFORM_CONTACT_LOST:
 		return model.ContactLost
 	default:
--- a/internal/wire/wireconv/member.go
+++ b/internal/wire/wireconv/member.go
@@ -30,8 +30,7 @@
 	return out, nil
 }
 
-// MemberToWire converts one member record to a message, which has no Slots and
-// Started.
+// MemberToWire converts one member record to a message.
 func MemberToWire(m model.Member) *wire.Member {
 	return &wire.Member{
 		Id:              string(m.ID),
@@ -44,6 +43,8 @@
 		Presence:        uint32(m.Announced.Presence),
 		Listed:          uint32(m.Listed),
 		ListedAt:        uint64(m.ListedAt),
+		Slots:           uint32(m.Slots),
+		Started:         uint64(m.Started),
 	}
 }
 
@@ -74,5 +75,7 @@
 		},
 		Listed:   model.Listing(message.GetListed()),
 		ListedAt: model.Revision(message.GetListedAt()),
+		Slots:    int(message.GetSlots()),
+		Started:  model.Incarnation(message.GetStarted()),
 	}, nil
 }
