Predict the wait for a slot by the kinds of the requests ahead

Calls of running work were refused although they would have been served in time, and the work above them then failed. The wait was predicted from one average over all requests of the server, which bookings of 360 ms dominate, while calls of 68 ms were ahead. It now adds up the service times of the kinds that are ahead and the mean of those that run.

Tried beside it and dropped: to count callers that cannot wait a third of their time as final attempts.

--- a/internal/decision/admission/dispatch.go
+++ b/internal/decision/admission/dispatch.go
@@ -155,14 +155,37 @@
 
 // queueDelay estimates, from recent service times, how long it takes until the
 // queued requests of r's class that precede it have started and a slot is free
-// for r.
+// for r. Each kind counts with its own service time: short calls wait behind many
+// others of their kind for less time than behind one long request.
 func (s *State) queueDelay(r Request, now time.Time) time.Duration {
 	slots := s.limits.LongSlots
 	if r.Class != model.ClassLong {
 		slots = s.limits.Slots - s.longRunning
 	}
-	ahead := s.countBefore(*s.queue(r.Class), r, now)
-	return s.average(r.Class).value() * time.Duration(ahead+1) / time.Duration(max(1, slots))
+	work := s.runningServiceTime(r.Class)
+	for _, other := range *s.queue(r.Class) {
+		if s.compare(other, r, now) <= 0 {
+			work += s.expectedServiceTime(other)
+		}
+	}
+	return work / time.Duration(max(1, slots))
+}
+
+// runningServiceTime returns the average of the expected service times of the running
+// requests of a class; without one, that of the class.
+func (s *State) runningServiceTime(class model.Class) time.Duration {
+	var total time.Duration
+	count := 0
+	for _, running := range s.running {
+		if running.class == class {
+			total += s.expectedServiceTime(Request{Class: class, Kind: running.kind})
+			count++
+		}
+	}
+	if count == 0 {
+		return s.average(class).value()
+	}
+	return total / time.Duration(count)
 }
 
 // tooLate reports whether a request that waits this long is refused because it
--- a/internal/decision/admission/queue.go
+++ b/internal/decision/admission/queue.go
@@ -33,18 +33,6 @@
 	return best
 }
 
-// countBefore returns the number of queued requests that are served before r if it
-// arrives now.
-func (s *State) countBefore(q queue, r Request, now time.Time) int {
-	n := 0
-	for _, other := range q {
-		if s.compare(other, r, now) <= 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // compare orders requests by priority; then final attempts precede other requests;
 // then requests that can still meet their latency objective precede the others;
 // then by soft deadline, or by deadline if the objective cannot be met.
