Do not believe a refusal that a server may have written once more

A faulty server that writes an earlier refusal once more on a kept connection made callers believe that a request had not run while the server ran it: the gate believed a refusal without an ID (status 421) on any connection, and a second refusal of the same request. Then the request ran at a second server, or its caller was told 'not run'.

Each connection now records what it has carried (decision/responsematch). A refusal without an ID counts only as the first response of a connection, since a server that was replaced is reached over a new one; a second refusal of one request on one connection does not count. Otherwise the outcome is unknown. A connection whose response was foreign is closed: with an empty body it went back to the pool before, one response behind. A response with status 101 counts as foreign.

Ruled out: copies with another request's ID (checked before), between node and gate (every response names its request), replays by the transport (writeGuard).

--- /dev/null
+++ b/internal/decision/responsematch/responsematch.go
@@ -0,0 +1,54 @@
+// Package responsematch decides whether a response that arrives on a kept connection
+// belongs to the request that waits there. A faulty server may send a response twice,
+// and the copy then arrives where the response to the next request is expected. The
+// package does no I/O.
+package responsematch
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/galenalever/galenalever/internal/frontend"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// maxRefused is the number of refusals that are remembered for a connection. Requests
+// are repeated soon or not at all.
+const maxRefused = 64
+
+// Connection records what a connection has carried. The zero value is a new
+// connection. It is not safe for concurrent use.
+type Connection struct {
+	// used is true after the first response.
+	used bool
+	// refused holds the IDs of the last requests that the server refused.
+	refused []model.RequestID
+}
+
+// Accept records a response and reports whether it can be the one to the request. A
+// response that names another request is not. Neither is a refusal without an ID on a
+// connection that was used before, or a second refusal of the same request: both may be
+// copies of an earlier one, while the server runs the request.
+func (c *Connection) Accept(request model.RequestID, status int, r frontend.ServerResponse) bool {
+	used := c.used
+	c.used = true
+	switch {
+	case status < http.StatusOK: // the rest of the connection is no HTTP response
+		return false
+	case r.WithoutID && !r.NotRun: // the server's protocol has no IDs
+		return true
+	case r.WithoutID:
+		return !used
+	case r.ID != request:
+		return false
+	case !r.NotRun:
+		return true
+	case slices.Contains(c.refused, request):
+		return false
+	}
+	if len(c.refused) == maxRefused {
+		c.refused = slices.Delete(c.refused, 0, 1)
+	}
+	c.refused = append(c.refused, request)
+	return true
+}
--- a/internal/service/backend/connection.go
+++ b/internal/service/backend/connection.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/galenalever/galenalever/internal/decision/responsematch"
 )
 
 const (
@@ -97,6 +99,8 @@
 type trackedConn struct {
 	net.Conn
 	guard atomic.Pointer[writeGuard]
+	// carried is used by one request at a time, that which the connection carries.
+	carried responsematch.Connection
 }
 
 // Write implements net.Conn. It fails if the guard of the current request refuses
--- a/internal/service/backend/do.go
+++ b/internal/service/backend/do.go
@@ -7,7 +7,10 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/galenalever/galenalever/internal/decision/health"
+	"github.com/galenalever/galenalever/internal/decision/responsematch"
 )
 
 // Error is the error of a request that got no response.
@@ -26,16 +29,26 @@
 // server may have executed it.
 func (e *Error) MayHaveRun() bool { return e.written }
 
+// errForeignResponse is the cause of an Error if the response belongs to another request.
+var errForeignResponse = eris.New("the response belongs to another request")
+
+// ForeignResponse reports whether the server sent a response, but not to this request.
+func (e *Error) ForeignResponse() bool { return errors.Is(e.cause, errForeignResponse) }
+
 // Do sends a request to the server and returns the response, whose body the caller
 // must close. Writing does not begin after notAfter, and the request is not written
-// twice. An idempotent request may use a connection that was idle for longer. Errors
-// are of type *Error. The URL of r must contain only path and query.
-func (s *Service) Do(r *http.Request, notAfter time.Time, idempotent bool) (*http.Response, error) {
+// twice. An idempotent request may use a connection that was idle for longer. accept
+// reports whether the response belongs to the request, given what its connection carried
+// before; if not, the connection is closed. Errors are of type *Error. The URL of r must
+// contain only path and query.
+func (s *Service) Do(
+	r *http.Request, notAfter time.Time, idempotent bool, accept func(*responsematch.Connection, *http.Response) bool,
+) (*http.Response, error) {
 	guard := &writeGuard{expired: func() bool { return !s.clock.Now().Before(notAfter) }}
+	var connection *trackedConn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*trackedConn); ok {
-			c.guard.Store(guard)
-		}
+		connection = info.Conn.(*trackedConn) // the transports dial no other
+		connection.guard.Store(guard)
 	}}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	r.URL.Scheme, r.URL.Host = s.base.Scheme, s.base.Host
@@ -45,7 +58,13 @@
 	}
 	response, err := transport.RoundTrip(r)
 	if err == nil {
-		return response, nil
+		if accept(&connection.carried, response) {
+			return response, nil
+		}
+		// What follows on the connection belongs to no known request.
+		_ = connection.Close()
+		_ = response.Body.Close()
+		err = errForeignResponse
 	}
 	written := !guard.abandon() // the transport may still be about to write
 	if errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/service/gate/dependencies.go
+++ b/internal/service/gate/dependencies.go
@@ -10,6 +10,7 @@
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/health"
 	"github.com/galenalever/galenalever/internal/decision/quarantine"
+	"github.com/galenalever/galenalever/internal/decision/responsematch"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
@@ -24,7 +25,9 @@
 type server interface {
 	Available() bool
 	State() *kernel.Snapshot[health.State]
-	Do(r *http.Request, notAfter time.Time, idempotent bool) (*http.Response, error)
+	Do(
+		r *http.Request, notAfter time.Time, idempotent bool, accept func(*responsematch.Connection, *http.Response) bool,
+	) (*http.Response, error)
 	Crashed(ctx context.Context) bool
 }
 
--- a/internal/service/gate/node_test.go
+++ b/internal/service/gate/node_test.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/service/backend"
@@ -65,8 +66,10 @@
 type memberList struct {
 	// serveLeaving is gate.Config.ServeLeaving of the nodes that start next.
 	serveLeaving time.Duration
-	mu           sync.Mutex
-	list         []model.Member
+	// headers is gate.Config.Headers of the nodes that start next.
+	headers frontend.Headers
+	mu      sync.Mutex
+	list    []model.Member
 	// incarnations counts the processes started for each instance.
 	incarnations map[string]model.Incarnation
 }
@@ -139,7 +142,7 @@
 	members.add(self.Member(model.PresenceReady))
 	n.backend = backend.New(backend.Config{URL: "http://" + n.server.address, HealthPath: "/healthz", HealthInterval: checkInterval})
 	suspects := quarantine.New(quarantine.Config{Self: self})
-	n.gate = gate.New(gate.Config{Self: self, Listener: traffic, ServeLeaving: members.serveLeaving})
+	n.gate = gate.New(gate.Config{Self: self, Listener: traffic, ServeLeaving: members.serveLeaving, Headers: members.headers})
 	exchange := wire.NewExchangeServer(fakeExchange{clock: clk, suspects: suspects})
 	n.control = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.controlBlocked.Load() {
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -6,13 +6,19 @@
 	"net/http"
 	"net/url"
 
+	"github.com/galenalever/galenalever/internal/decision/responsematch"
 	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
-// mayHaveRun is implemented by the errors of the backend service.
-type mayHaveRun interface{ MayHaveRun() bool }
+// exchangeError is implemented by the errors of the backend service.
+type exchangeError interface {
+	// MayHaveRun reports whether any byte of the request was written.
+	MayHaveRun() bool
+	// ForeignResponse reports whether the response belongs to another request.
+	ForeignResponse() bool
+}
 
 // run sends a call that holds a slot to the server and relays the response.
 func (s *Service) run(c *call) {
@@ -31,7 +37,9 @@
 	s.headers.ToServer(out.Header, frontend.ServerRequest{
 		TimeLeft: c.deadline.Sub(s.clock.Now()), Target: target, Origin: c.Origin,
 	})
-	response, err := s.deps.server.Do(out, c.deadline, c.Idempotent)
+	response, err := s.deps.server.Do(out, c.deadline, c.Idempotent, func(connection *responsematch.Connection, r *http.Response) bool {
+		return connection.Accept(c.ID, r.StatusCode, s.headers.FromServer(r.StatusCode, r.Header))
+	})
 	if err != nil {
 		s.handleError(ctx, c, err)
 		return
@@ -40,15 +48,10 @@
 	s.handleResponse(ctx, c, response, target)
 }
 
-// handleResponse relays a response of the server if it belongs to the call.
+// handleResponse relays the server's response to the call, or its refusal.
 func (s *Service) handleResponse(ctx context.Context, c *call, response *http.Response, target model.InstanceID) {
 	result := s.headers.FromServer(response.StatusCode, response.Header)
 	switch {
-	case !result.WithoutID && result.ID != c.ID:
-		// This is the response to an earlier request; the outcome of this one is
-		// unknown.
-		s.release(c, false)
-		s.refuse(c, unknown(model.ReasonBrokenAnswer))
 	case result.Misdirected:
 		s.log.Info("backend server was replaced by another instance", "request", c.ID, "instance_gone", target)
 		s.goneID.Store(target)
@@ -85,13 +88,18 @@
 
 // handleError ends a call for which the server gave no response.
 func (s *Service) handleError(ctx context.Context, c *call, err error) {
-	var attempt mayHaveRun
-	if errors.As(err, &attempt) && !attempt.MayHaveRun() {
+	var failed exchangeError
+	known := errors.As(err, &failed)
+	switch {
+	case known && !failed.MayHaveRun():
 		s.dropReplicas(c)
 		s.endNotRun(c, notRun(s.notRunReason(ctx, c)))
-		return
+	case known && failed.ForeignResponse():
+		s.release(c, false)
+		s.refuse(c, unknown(model.ReasonBrokenAnswer))
+	default:
+		s.refuse(c, unknown(s.handleLost(ctx, c)))
 	}
-	s.refuse(c, unknown(s.handleLost(ctx, c)))
 }
 
 // notRunReason returns the reason why no byte of a request reached the server.
