Take over what several peers run in one step after a restart

The answers of all asked peers are now taken in together before anything is published, the versions in their cuts included.

Ruled out: nodes on the platform, which read the store or a node in contact with it before they serve.

The scenario 'restart' of the config service shows one configuration-applied event at the newer version; before, the older one came first.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -58,6 +58,9 @@
 type DeltaReceived struct {
 	From  Origin
 	Delta replicate.Delta
+	// Offered holds, for a bootstrap, the subtrees that further peers know or run. Where
+	// the first peer holds a version back, they may run a newer one than it does.
+	Offered [][]replicate.SubtreeDelta
 }
 
 // MessageName implements kernel.Message.
--- a/internal/service/config/config.go
+++ b/internal/service/config/config.go
@@ -152,8 +152,9 @@
 	return model.Cut{}, false
 }
 
-// bootstrap adopts the cut and the running subtrees of a peer. A delta from a peer
-// without a configuration is ignored. Running subtrees whose composition is not
+// bootstrap adopts the cut and the running subtrees of a peer, and the newer versions that
+// further peers run, in one step: between two steps the node would run older versions
+// than the process before it. A delta from a peer without a configuration is ignored. Running subtrees whose composition is not
 // closed are rejected: during the bootstrap time the whole delta is then ignored, after
 // it the cut is accepted without them.
 func (s *Service) bootstrap(m control.DeltaReceived) {
@@ -171,7 +172,11 @@
 		}
 	}
 	s.log.Info("adopted the configuration of a peer", "peer", m.From.Peer, "revision", cut.Revision)
-	s.accept(cut)
+	s.acceptor.Accept(cut)
+	for _, offered := range m.Offered {
+		s.acceptor.Offer(replicate.VerifiedRunning(offered))
+	}
+	s.publish(s.acceptor.Current())
 	s.endBootstrap()
 }
 
--- a/internal/service/exchange/bootstrap.go
+++ b/internal/service/exchange/bootstrap.go
@@ -12,6 +12,7 @@
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/rank"
+	"github.com/galenalever/galenalever/internal/decision/replicate"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/wire"
 	"github.com/galenalever/galenalever/internal/wire/wireconv"
@@ -50,7 +51,7 @@
 
 // bootstrapFrom applies the state of the first peer. If that peer holds subtree
 // versions back, the other peers may run newer versions of the same subtrees, so
-// their responses are fetched before any response is applied.
+// their responses are fetched before any response is applied, and applied with the first.
 func (s *Service) bootstrapFrom(ctx context.Context, peers []peer) {
 	if len(peers) == 0 {
 		return
@@ -74,6 +75,7 @@
 			})
 		}
 		group.Wait()
+		options.offered = s.offeredBy(peers[1:], responses[1:])
 	}
 	for i, response := range responses {
 		if response == nil {
@@ -85,6 +87,23 @@
 	}
 }
 
+// offeredBy returns the subtrees in the responses to bootstrap polls.
+func (s *Service) offeredBy(peers []peer, responses []*wire.PollResponse) [][]replicate.SubtreeDelta {
+	var offered [][]replicate.SubtreeDelta
+	for i, response := range responses {
+		if response == nil {
+			continue
+		}
+		delta, err := wireconv.Delta(response, true)
+		if err != nil {
+			s.log.Debug("malformed bootstrap response", "peer", peers[i].name(), "error", err)
+			continue
+		}
+		offered = append(offered, slices.Concat(delta.Running, delta.Subtrees))
+	}
+	return offered
+}
+
 // peersByRevision requests the cut revisions of the candidates and returns those
 // that have a cut, highest revision first. A restarted process that bootstrapped
 // from a lagging node could otherwise run an older configuration than it ran
--- a/internal/service/exchange/poll.go
+++ b/internal/service/exchange/poll.go
@@ -8,6 +8,7 @@
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/members"
+	"github.com/galenalever/galenalever/internal/decision/replicate"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
@@ -24,6 +25,8 @@
 	// compare requests a comparison of the members by digests. The position in the
 	// peer's member log is neither sent nor stored.
 	compare bool
+	// offered is control.DeltaReceived.Offered.
+	offered [][]replicate.SubtreeDelta
 	// upstreamIndex is the index of the peer in role.upstreams.
 	upstreamIndex int
 	// generation is that of the role when the poll was sent.
@@ -132,7 +135,7 @@
 		return err
 	}
 	if delta.Revision > model.Revision(request.GetCutRevision()) || options.bootstrap || len(delta.Running) > 0 {
-		messages = append(messages, control.DeltaReceived{From: origin, Delta: delta})
+		messages = append(messages, control.DeltaReceived{From: origin, Delta: delta, Offered: options.offered})
 	}
 	if len(delta.Subtrees) > 0 {
 		s.log.Info("configuration received", "peer", p.name(), "revision", delta.Revision, "base", request.GetCutRevision())
