Let readers with slow links continue where other nodes were, and split follow.go

Found by reading the change: a reader with a slow link did not keep the revision that the nodes it follows told it, so its fallback read more than it lacked; a call that had failed long ago made such a node wait a second more for the configuration; and a node that reads in place of others followed nobody while the store did not respond to it.

Now every node that follows keeps the revision, a failure counts until the node has followed others, and a node that failed to reach the store reads for others again only after 5 s. What polls tell about links moves to links.go.

--- a/internal/distribution/direct_test.go
+++ b/internal/distribution/direct_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
@@ -52,7 +53,7 @@
 	n.watchdog = watchdog.New(watchdog.Config{MaxStale: directMaxStale})
 	n.config = config.New(0)
 	n.exchange = exchange.New(exchange.Config{
-		Self: self, Dial: m.dialer(n), RandomSeed: seed, Direct: true, PollTimes: directPollTimes,
+		Self: self, Dial: m.dialer(n), RandomSeed: seed, Direct: true, PollTimes: directPollTimes, Bandwidth: m.bandwidth(self),
 	})
 	n.run(m, source.New(source.Config{
 		Self: self, Platform: &platformClient{mesh: m, node: n}, Parse: document.NewSubtree, RandomSeed: seed, Pacing: directPacing,
@@ -60,6 +61,18 @@
 	return n
 }
 
+// slowBandwidth, in bits per second, is too little for any configuration of the tests.
+const slowBandwidth = 100
+
+// bandwidth returns exchange.Config.Bandwidth of a node. The names of the nodes end with
+// a number of three digits; one in ten has a wide link.
+func (m *mesh) bandwidth(self model.Self) float64 {
+	if !m.slowLinks || strings.HasSuffix(string(self.ID), "5") {
+		return 0
+	}
+	return slowBandwidth
+}
+
 // readers returns the nodes of a domain that should read the platform.
 func (s *script) readers(d *datadriven.TestData) []*node {
 	var domain string
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -24,7 +24,8 @@
 // advances. The commands:
 //
 //	mesh nodes=N domains=A+B limit=N teams=N  start a mesh; limit is in platform calls per second;
-//	                                          with "direct", nodes follow each other (exchange.Config.Direct)
+//	                                          with "direct", nodes follow each other (exchange.Config.Direct);
+//	                                          with "slow-links", few links can carry the configuration
 //	publish [count=N every=TIME]              publish new versions of random teams' documents
 //	supersede after=TIME                      publish a good version, then an invalid one
 //	run for=TIME                              let the time pass
@@ -152,7 +153,7 @@
 		domains = append(domains, model.FailureDomain(name))
 	}
 	s.mesh = newMesh(domains, limit)
-	s.mesh.direct = d.HasArg("direct")
+	s.mesh.direct, s.mesh.slowLinks = d.HasArg("direct"), d.HasArg("slow-links")
 	s.teams = teams
 	s.mesh.publish(model.RootKey, rootDocument(teams))
 	for i := range teams {
--- a/internal/distribution/mesh_test.go
+++ b/internal/distribution/mesh_test.go
@@ -34,8 +34,9 @@
 	cutNodes        map[model.InstanceID]bool
 	// silentNodes do not respond to other nodes.
 	silentNodes map[model.InstanceID]bool
-	// direct is exchange.Config.Direct of all nodes.
-	direct bool
+	// direct is exchange.Config.Direct of all nodes. With slowLinks, only the links of a
+	// few nodes can carry the configuration.
+	direct, slowLinks bool
 	// lastRevisions holds the newest revisions that each instance has run, in any
 	// process.
 	lastRevisions map[model.InstanceID]map[model.Key]model.Revision
--- a/internal/service/exchange/follow.go
+++ b/internal/service/exchange/follow.go
@@ -33,12 +33,6 @@
 	// outage, before a node with a slow link reads the whole configuration. They retry
 	// within half a second.
 	recoveryGrace = time.Second
-	// linkTimeout is how long after the last poll that names it a node counts as one
-	// whose link can carry the configuration, and how long after the last request of a
-	// slow reader a node reads in its place.
-	linkTimeout = 5 * time.Second
-	// maxWideLinks is the largest number of addresses in a poll.
-	maxWideLinks = 4
 )
 
 // following is the control state of a node in direct mode. It is accessed only by
@@ -53,9 +47,11 @@
 	// node reads nothing.
 	reached bool
 	// unreachable is true from a failed call to the platform until the next successful
-	// one. Until readAfter, which is set after an outage, a node with a slow link reads no
-	// configuration.
+	// one, or until the node has followed others since. failedAt is when a call last
+	// failed. Until readAfter, which is set after an outage, a node with a slow link reads
+	// no configuration.
 	unreachable bool
+	failedAt    time.Time
 	readAfter   time.Time
 	// wideLinks holds when a poll last named the node at a control address as one whose
 	// link can carry the configuration.
@@ -76,6 +72,9 @@
 	}
 	f := &s.planner.following
 	f.reached = m.Reached
+	if !m.Reached {
+		f.failedAt = s.clock.Now()
+	}
 	if m.Reached && f.unreachable {
 		// Peers that did not respond may have been unreachable for the same reason.
 		s.planner.exclusions.Clear()
@@ -107,12 +106,12 @@
 	now := s.clock.Now()
 	carries := !s.planner.configured || rank.LinkCarriesConfiguration(s.config.Bandwidth, f.configurationBytes)
 	place := rank.Follow(s.members.Load(), s.config.Self, ids, f.isWide(now), s.evidence())
-	next.reader = place.Reader || carries && now.Before(f.readFor)
+	next.reader = place.Reader || carries && f.readsForOthers(now)
 	next.interim, next.scope = true, control.ReadAll
 	s.links.Store(f.newLinks(s.config.Self.Addresses.Control, carries && s.planner.configured, place.Reader && !carries, now))
 	if next.reader && carries {
 		next.interim = false
-		if !f.unreachable || !place.Reader {
+		if !f.unreachable {
 			clear(f.confirmed)
 			return
 		}
@@ -129,86 +128,6 @@
 	}
 }
 
-// links is what the polls of a node tell other nodes about links. It is immutable.
-type links struct {
-	// slowReader is true if this node is a reader whose link cannot carry the
-	// configuration.
-	slowReader bool
-	// wide holds the control addresses of nodes whose links can.
-	wide []string
-}
-
-func (f *following) isWide(now time.Time) func(address string) bool {
-	return func(address string) bool {
-		at, ok := f.wideLinks[address]
-		return ok && now.Sub(at) < linkTimeout
-	}
-}
-
-// newLinks returns what polls tell from now on. The same addresses are chosen on all
-// nodes that know them.
-func (f *following) newLinks(own string, carries, slowReader bool, now time.Time) *links {
-	isWide := f.isWide(now)
-	var wide []string
-	for address := range f.wideLinks {
-		if isWide(address) {
-			wide = append(wide, address)
-		} else {
-			delete(f.wideLinks, address)
-		}
-	}
-	if carries {
-		wide = append(wide, own)
-	}
-	rank.SortAddresses(wide)
-	return &links{slowReader: slowReader, wide: wide[:min(len(wide), maxWideLinks)]}
-}
-
-// polled is the message that another node has polled this one in direct mode. Its
-// fields are those of wire.PollRequest.
-type polled struct {
-	slowReader bool
-	wide       []string
-}
-
-// MessageName implements kernel.Message.
-func (polled) MessageName() string { return "polled" }
-
-func (s *Service) handlePolled(m polled) {
-	f, now := &s.planner.following, s.clock.Now()
-	isWide, changed := f.isWide(now), false
-	for _, address := range m.wide[:min(len(m.wide), maxWideLinks)] {
-		if address != s.config.Self.Addresses.Control {
-			changed = changed || !isWide(address)
-			f.wideLinks[address] = now
-		}
-	}
-	if m.slowReader {
-		changed = changed || now.After(f.readFor)
-		f.readFor = now.Add(linkTimeout)
-	}
-	if changed {
-		s.scheduleReplan(replanDelay)
-	}
-	if !f.linkCheckScheduled {
-		f.linkCheckScheduled = true
-		s.loop.After(linkTimeout, linkCheck{})
-	}
-}
-
-// linkCheck is the timer message that updates the role, since what polls told about
-// links may have expired.
-type linkCheck struct{}
-
-// MessageName implements kernel.Message.
-func (linkCheck) MessageName() string { return "link-check" }
-
-// handleLinkCheck ends with the first check after the last poll.
-func (s *Service) handleLinkCheck() {
-	s.planner.following.linkCheckScheduled = false
-	s.updateRole()
-}
-
 // informed reports whether a node that this one follows, or did until a short time ago,
 // has reported contact with the platform a short time ago.
 func (s *Service) informed() bool {
@@ -255,7 +174,7 @@
 			s.timeline.Record(timeline.KindUpstreamChanged, m.from.name())
 		}
 		f.confirmed[m.from] = s.clock.Now()
-		if c := s.configuration.Load(); !current.reader && c != nil && c.Cut.Revision >= m.cutRevision {
+		if c := s.configuration.Load(); c != nil && c.Cut.Revision >= m.cutRevision {
 			f.knownRevision = max(f.knownRevision, m.platformRevision)
 			s.known.Store(uint64(f.knownRevision))
 		}
--- a/internal/service/exchange/planner.go
+++ b/internal/service/exchange/planner.go
@@ -208,7 +208,7 @@
 	}
 	if s.config.Direct {
 		if old.scope == control.ReadNothing && next.scope != old.scope {
-			s.planner.following.reached = false // until the platform responds
+			s.planner.following.reached, s.planner.following.unreachable = false, false // until the first call
 		}
 		s.updateContact(next)
 	}
