--- a/internal/decision/responsematch/responsematch.go
+++ b/internal/decision/responsematch/responsematch.go
@@ -5,10 +5,8 @@
 package responsematch
 
 import (
-	"net/http"
 	"slices"
 
-	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
@@ -16,6 +14,18 @@
 // are repeated soon or not at all.
 const maxRefused = 64
 
+// Response is what a response says about the request to which it belongs.
+type Response struct {
+	// ID is the request that it names. WithoutID is true if responses of its kind name
+	// none.
+	ID        model.RequestID
+	WithoutID bool
+	// NotRun is true if the server states that it did not run the request.
+	NotRun bool
+	// SwitchesProtocol is true if what follows on the connection is another protocol.
+	SwitchesProtocol bool
+}
+
 // Connection records what a connection has carried. The zero value is a new
 // connection. It is not safe for concurrent use.
 type Connection struct {
@@ -29,11 +39,11 @@
 // response that names another request is not. Neither is a refusal without an ID on a
 // connection that was used before, or a second refusal of the same request: both may be
 // copies of an earlier one, while the server runs the request.
-func (c *Connection) Accept(request model.RequestID, status int, r frontend.ServerResponse) bool {
+func (c *Connection) Accept(request model.RequestID, r Response) bool {
 	used := c.used
 	c.used = true
 	switch {
-	case status < http.StatusOK: // the rest of the connection is no HTTP response
+	case r.SwitchesProtocol:
 		return false
 	case r.WithoutID && !r.NotRun: // the server's protocol has no IDs
 		return true
--- a/internal/decision/responsematch/responsematch_test.go
+++ b/internal/decision/responsematch/responsematch_test.go
@@ -5,38 +5,36 @@
 	"testing"
 
 	"github.com/galenalever/galenalever/internal/decision/responsematch"
-	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
 // TestAccept checks which responses on one connection are accepted.
 func TestAccept(t *testing.T) {
-	answer := func(id model.RequestID) frontend.ServerResponse { return frontend.ServerResponse{ID: id} }
-	refusal := func(id model.RequestID) frontend.ServerResponse {
-		return frontend.ServerResponse{ID: id, NotRun: true, WithoutID: id == ""}
+	answer := func(id model.RequestID) responsematch.Response { return responsematch.Response{ID: id} }
+	refusal := func(id model.RequestID) responsematch.Response {
+		return responsematch.Response{ID: id, NotRun: true, WithoutID: id == ""}
 	}
 	type step struct {
 		request  model.RequestID
-		status   int
-		response frontend.ServerResponse
+		response responsematch.Response
 		want     bool
 	}
 	for name, steps := range map[string][]step{
-		"own responses":                        {{"a", 200, answer("a"), true}, {"b", 500, answer("b"), true}, {"c", 503, refusal("c"), true}},
-		"copy of an earlier response":          {{"a", 200, answer("a"), true}, {"b", 200, answer("a"), false}},
-		"copy of an earlier refusal":           {{"a", 503, refusal("a"), true}, {"b", 503, refusal("a"), false}},
-		"refusal without an ID":                {{"a", 421, refusal(""), true}},
-		"refusal without an ID after another":  {{"a", 421, refusal(""), true}, {"b", 421, refusal(""), false}},
-		"refusal without an ID after a result": {{"a", 200, answer("a"), true}, {"b", 503, refusal(""), false}},
-		"second refusal of a request":          {{"a", 503, refusal("a"), true}, {"a", 503, refusal("a"), false}},
-		"result after a refusal":               {{"a", 503, refusal("a"), true}, {"a", 200, answer("a"), true}},
-		"result without an ID":                 {{"a", 200, answer(""), false}},
-		"protocol without IDs":                 {{"a", 200, frontend.ServerResponse{WithoutID: true}, true}, {"b", 200, frontend.ServerResponse{WithoutID: true}, true}},
-		"switch of protocols":                  {{"a", 101, answer("a"), false}},
+		"own responses":                        {{"a", answer("a"), true}, {"b", answer("b"), true}, {"c", refusal("c"), true}},
+		"copy of an earlier response":          {{"a", answer("a"), true}, {"b", answer("a"), false}},
+		"copy of an earlier refusal":           {{"a", refusal("a"), true}, {"b", refusal("a"), false}},
+		"refusal without an ID":                {{"a", refusal(""), true}},
+		"refusal without an ID after another":  {{"a", refusal(""), true}, {"b", refusal(""), false}},
+		"refusal without an ID after a result": {{"a", answer("a"), true}, {"b", refusal(""), false}},
+		"second refusal of a request":          {{"a", refusal("a"), true}, {"a", refusal("a"), false}},
+		"result after a refusal":               {{"a", refusal("a"), true}, {"a", answer("a"), true}},
+		"result without an ID":                 {{"a", answer(""), false}},
+		"protocol without IDs":                 {{"a", responsematch.Response{WithoutID: true}, true}, {"b", responsematch.Response{WithoutID: true}, true}},
+		"switch of protocols":                  {{"a", responsematch.Response{ID: "a", SwitchesProtocol: true}, false}},
 	} {
 		var c responsematch.Connection
 		for i, s := range steps {
-			if got := c.Accept(s.request, s.status, s.response); got != s.want {
+			if got := c.Accept(s.request, s.response); got != s.want {
 				t.Errorf("%s, response %d: accepted %t", name, i+1, got)
 			}
 		}
@@ -49,7 +47,7 @@
 	var c responsematch.Connection
 	id := func(i int) model.RequestID { return model.RequestID(fmt.Sprint(i)) }
 	refuse := func(i int) bool {
-		return c.Accept(id(i), 503, frontend.ServerResponse{ID: id(i), NotRun: true})
+		return c.Accept(id(i), responsematch.Response{ID: id(i), NotRun: true})
 	}
 	for i := range 1000 {
 		if !refuse(i) {
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -38,7 +38,7 @@
 		TimeLeft: c.deadline.Sub(s.clock.Now()), Target: target, Origin: c.Origin,
 	})
 	response, err := s.deps.server.Do(out, c.deadline, c.Idempotent, func(connection *responsematch.Connection, r *http.Response) bool {
-		return connection.Accept(c.ID, r.StatusCode, s.headers.FromServer(r.StatusCode, r.Header))
+		return connection.Accept(c.ID, s.matchOf(r))
 	})
 	if err != nil {
 		s.handleError(ctx, c, err)
@@ -48,6 +48,15 @@
 	s.handleResponse(ctx, c, response, target)
 }
 
+// matchOf returns what a response of the server says about its request.
+func (s *Service) matchOf(r *http.Response) responsematch.Response {
+	result := s.headers.FromServer(r.StatusCode, r.Header)
+	return responsematch.Response{
+		ID: result.ID, WithoutID: result.WithoutID, NotRun: result.NotRun,
+		SwitchesProtocol: r.StatusCode == http.StatusSwitchingProtocols,
+	}
+}
+
 // handleResponse relays the server's response to the call, or its refusal.
 func (s *Service) handleResponse(ctx context.Context, c *call, response *http.Response, target model.InstanceID) {
 	result := s.headers.FromServer(response.StatusCode, response.Header)
