Check again that no node follows itself or another failure domain

That a node follows two different ones is still checked; that it follows neither itself nor another domain was lost, and is checked again.

--- a/internal/decision/rank/follow_test.go
+++ b/internal/decision/rank/follow_test.go
@@ -70,7 +70,11 @@
 // no node serves many.
 func TestFewNodesReadAtEverySize(t *testing.T) {
 	for count, maxDepth := range map[int]int{1: 0, 2: 0, 3: 1, 10: 1, 59: 3, 1900: 5} {
-		places := placesOf(viewOfListed(count, "jkt"), count, rank.NoFailures())
+		view := viewOfListed(count, "jkt")
+		for i := range 3 {
+			view, _ = view.With(listed(count+i, "smg")) // never followed from jkt
+		}
+		places := placesOf(view, count, rank.NoFailures())
 		byAddress := map[string]place{}
 		readers, followers := 0, map[model.InstanceID]int{}
 		for _, p := range places {
@@ -82,6 +86,11 @@
 			if p.Upstreams[0].ID == p.Upstreams[1].ID || p.Upstreams[0].ID == "" || p.Upstreams[1].ID == "" {
 				t.Fatalf("%d nodes: %s follows %q and %q", count, p.self.ID, p.Upstreams[0].ID, p.Upstreams[1].ID)
 			}
+			for _, m := range p.Upstreams {
+				if m.Domain != "jkt" || m.Addresses.Control == p.self.Addresses.Control {
+					t.Fatalf("%d nodes: %s follows itself or another failure domain: %+v", count, p.self.ID, m)
+				}
+			}
 			followers[p.Upstreams[0].ID]++
 			followers[p.Upstreams[1].ID]++
 		}
