--- a/review/stand/bench.go
+++ b/review/stand/bench.go
@@ -162,6 +162,7 @@
 type machine struct {
 	name, ip, zone, service string
 	slots                   int
+	streams                 bool // a flag of the server
 	server, node            *process
 	serverID                string
 	// born is when the server started, sequence counts its entries.
@@ -199,6 +200,9 @@
 	}
 	command := exec.Command(self, "worker", "--address", b.address(m.ip, portServer), "--id", m.serverID,
 		"--service", m.service, "--slots", strconv.Itoa(m.slots))
+	if m.streams {
+		command.Args = append(command.Args, "--streams")
+	}
 	command.Stderr = os.Stderr
 	output, err := command.StdoutPipe()
 	if err != nil {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,10 +21,11 @@
 
 // cases maps the names of the cases to their drivers.
 var cases = map[string]func(*bench) (broken bool){
-	"drain":  drainCase,
-	"denied": deniedCase,
-	"lost":   lostCase,
-	"route":  routeCase,
+	"drain":   drainCase,
+	"denied":  deniedCase,
+	"lost":    lostCase,
+	"route":   routeCase,
+	"refused": refusedCase,
 }
 
 func main() {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -56,8 +56,11 @@
 	id, service string
 	slots       chan struct{}
 	queue       int64
-	waiting     atomic.Int64
-	events      chan workerEvent
+	// streams is true if the server begins to work on a request before it has read a body
+	// of unknown length.
+	streams bool
+	waiting atomic.Int64
+	events  chan workerEvent
 }
 
 func workerMain(args []string) int {
@@ -67,9 +70,10 @@
 	service := flags.String("service", "", "service")
 	slots := flags.Int("slots", 6, "requests that run at a time")
 	queue := flags.Int64("queue", 24, "requests that wait")
+	streams := flags.Bool("streams", false, "work on requests while their bodies of unknown length arrive")
 	_ = flags.Parse(args)
 	w := &worker{
-		id: *id, service: *service, slots: make(chan struct{}, *slots), queue: *queue,
+		id: *id, service: *service, slots: make(chan struct{}, *slots), queue: *queue, streams: *streams,
 		events: make(chan workerEvent, 1024),
 	}
 	go w.writeEvents()
@@ -124,6 +128,10 @@
 		w.refuse(out, r, http.StatusBadRequest)
 		return
 	}
+	if w.streams && r.ContentLength < 0 {
+		w.runStream(out, r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the connection closed before the request was complete
@@ -172,3 +180,51 @@
 	out.WriteHeader(status)
 	fmt.Fprintf(out, "%s of %s ran %s for %s\n", w.id, w.service, attempt, r.Header.Get(headerOrigin))
 }
+
+// runStream works on a request while its body arrives, answers when the work is done, and
+// then reads what is left of the body.
+func (w *worker) runStream(out http.ResponseWriter, r *http.Request) {
+	w.slots <- struct{}{}
+	defer func() { <-w.slots }()
+	w.report(eventRun, r, 0, 0)
+	_ = http.NewResponseController(out).EnableFullDuplex()
+	var size int64
+	read := make(chan error, 1)
+	go func() {
+		var err error
+		size, err = io.Copy(io.Discard, r.Body)
+		read <- err
+	}()
+	work, _ := strconv.Atoi(r.Header.Get(headerWork))
+	done := time.After(time.Duration(work) * time.Millisecond)
+	for answered := false; ; {
+		select {
+		case <-done:
+			w.report(eventEnd, r, 0, http.StatusOK)
+			w.answerStream(out, r)
+			answered, done = true, nil
+			if read == nil {
+				return
+			}
+		case err := <-read:
+			if err != nil && !answered {
+				w.report(eventDrop, r, size, 0)
+				return
+			}
+			if answered {
+				return
+			}
+			read = nil
+		}
+	}
+}
+
+func (w *worker) answerStream(out http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get(headerAttempt)
+	body := fmt.Sprintf("%s of %s stored %s\n", w.id, w.service, attempt)
+	out.Header().Set(headerAttempt, attempt)
+	out.Header().Set(headerSeal, w.id+"."+attempt)
+	out.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(out, body)
+	_ = http.NewResponseController(out).Flush()
+}
