--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -135,12 +135,16 @@
 		"quote": {Host: host, Prefix: "/quote/", Type: nonIdempotent, TimeoutMS: timeoutMS, TargetLatencyMS: 3000, Priority: 1, Service: "stock", MaxAttempts: 2},
 	})
 	stopped := b.newMachines(1, "east", "stock")[0]
-	all := append([]*machine{stopped}, b.newMachines(3, "west", "stock")...)
+	all := append([]*machine{stopped}, b.newMachines(4, "west", "stock")...)
 	b.startAll(all)
 	var got answers
 	until := make(chan struct{})
 	for _, m := range all {
-		b.load(m, request{method: http.MethodPost, host: host, path: "/quote/new", body: `{"lot":1}`, deadlineMS: 5000, workMS: workMS}, 1.6, &got, nil, until)
+		perSecond := 1.0
+		if m == stopped {
+			perSecond = 3
+		}
+		b.load(m, request{method: http.MethodPost, host: host, path: "/quote/new", body: `{"lot":1}`, deadlineMS: 5000, workMS: workMS}, perSecond, &got, nil, until)
 	}
 	time.Sleep(5 * time.Second)
 	stop := time.Now()
