--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -72,18 +72,17 @@
 }
 
 // deniedCase checks DENIED: proper requests are not answered with a 4xx of the nodes.
-// The disruption is that the two servers of one zone crash at the same moment and are
-// back after some seconds.
+// The disruption is that two of 14 servers crash at the same moment and are back after
+// some seconds.
 func deniedCase(b *bench) bool {
 	b.configure(7, map[string]route{
 		"list": {Host: host, Prefix: "/list/", Type: idempotent, TimeoutMS: 1200, TargetLatencyMS: 800, Priority: 2, Service: "stock", MaxAttempts: 2},
 		"book": {Host: host, Prefix: "/book/", Type: nonIdempotent, TimeoutMS: 1500, TargetLatencyMS: 800, Priority: 1, Service: "stock", MaxAttempts: 2},
 	})
 	var all []*machine
-	zones := []string{"east", "west", "south"}
-	for _, zone := range zones {
-		all = append(all, b.newMachines(2, zone, "stock")...)
-	}
+	all = append(all, b.newMachines(5, "east", "stock")...)
+	all = append(all, b.newMachines(5, "west", "stock")...)
+	all = append(all, b.newMachines(4, "south", "stock")...)
 	for _, m := range all {
 		m.slots = 10
 	}
@@ -97,7 +96,7 @@
 	time.Sleep(6 * time.Second)
 	crash := time.Now()
 	if b.trouble {
-		crashed := all[:2]
+		crashed := []*machine{all[0], all[5]}
 		for _, m := range crashed {
 			b.record.printf("server %s crashes", m.serverID)
 			m.server.kill(syscall.SIGKILL)
@@ -135,14 +134,14 @@
 		"quote": {Host: host, Prefix: "/quote/", Type: nonIdempotent, TimeoutMS: timeoutMS, TargetLatencyMS: 3000, Priority: 1, Service: "stock", MaxAttempts: 2},
 	})
 	stopped := b.newMachines(1, "east", "stock")[0]
-	all := append([]*machine{stopped}, b.newMachines(4, "west", "stock")...)
+	all := append([]*machine{stopped}, b.newMachines(6, "west", "stock")...)
 	b.startAll(all)
 	var got answers
 	until := make(chan struct{})
 	for _, m := range all {
 		perSecond := 1.0
 		if m == stopped {
-			perSecond = 3
+			perSecond = 5
 		}
 		b.load(m, request{method: http.MethodPost, host: host, path: "/quote/new", body: `{"lot":1}`, deadlineMS: 5000, workMS: workMS}, perSecond, &got, nil, until)
 	}
