ingress, gate, kernel: log what a planned stop waits for and what it cuts

What callers saw: requests without a whole answer around SIGTERM; the log named only the first service that ran out of time, so the hypotheses of the incident looked alike. Now each request that arrives while the node leaves is logged with its time since the start of the drain, the shutdown logs what is in flight, which connections are unused and which requests it cuts, the gate says whether it drained, and the kernel how long each service took. No decision changes.

--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"log/slog"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -170,7 +169,7 @@
 	}
 	begin := k.clock.Now()
 	err := stopper.Stop(ctx)
-	k.log.Debug("service stopped", "service", s.Name(), "took", k.clock.Now().Sub(begin).Round(time.Millisecond))
+	k.log.Info("service stopped", "service", s.Name(), "took_ms", k.clock.Now().Sub(begin).Milliseconds(), "in_time", ctx.Err() == nil)
 	if err != nil && first == nil {
 		return eris.Wrapf(err, "stopping service %q", s.Name())
 	}
--- a/internal/service/gate/drain.go
+++ b/internal/service/gate/drain.go
@@ -20,6 +20,8 @@
 	if s.leaveScheduled.Swap(true) {
 		return
 	}
+	now := s.clock.Now()
+	s.leaveScheduledAt.Store(&now)
 	if s.serveLeaving <= 0 {
 		s.leave()
 		return
@@ -55,6 +57,7 @@
 func (s *Service) Stop(ctx context.Context) error {
 	s.leave()
 	drained := s.awaitIdle(ctx)
+	s.log.Info("gate drained", "complete", drained, "active_calls", s.active(), "leaving_ms", s.sinceLeaving(s.clock.Now()).Milliseconds())
 	s.handOver(ctx)
 	s.wait(ctx, lameDuckPeriod-s.clock.Now().Sub(s.leavingSince))
 	if err := s.http.Shutdown(ctx); err != nil {
@@ -77,6 +80,23 @@
 	return !s.leaveScheduled.Load() || s.awaitIdle(ctx)
 }
 
+// active returns the number of running and queued calls.
+func (s *Service) active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.activeCalls
+}
+
+// sinceLeaving returns the time from the start of the drain until at: negative for an
+// earlier time, 0 if the gate does not leave.
+func (s *Service) sinceLeaving(at time.Time) time.Duration {
+	since := s.leaveScheduledAt.Load()
+	if since == nil {
+		return 0
+	}
+	return at.Sub(*since)
+}
+
 func (s *Service) awaitIdle(ctx context.Context) bool {
 	select {
 	case <-s.idle:
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -66,6 +66,8 @@
 	// leaveScheduled is true once the node is to leave, leaving once the gate
 	// refuses requests.
 	leaveScheduled, leaving atomic.Bool
+	// leaveScheduledAt is when leaveScheduled was set; nil before.
+	leaveScheduledAt atomic.Pointer[time.Time]
 	// withdrawn is true while the platform lists this node's backend server as
 	// leaving; the gate itself stays. listedSlots is the number of slots in the
 	// platform's listing, 0 if it names none.
--- a/internal/service/gate/log.go
+++ b/internal/service/gate/log.go
@@ -14,11 +14,12 @@
 // logged.
 const slowCallThreshold = 400 * time.Millisecond
 
-// logCall logs the outcome of a call. Quick successful calls are sampled.
+// logCall logs the outcome of a call. Quick successful calls are sampled, unless the
+// gate leaves.
 func (s *Service) logCall(c *call, outcome model.Outcome, reason model.Reason, status int, retryAfter time.Duration) {
 	now := s.clock.Now()
 	quickSuccess := outcome == model.OutcomeAnswered && status < http.StatusInternalServerError && now.Sub(c.arrived) < slowCallThreshold
-	if quickSuccess && !logging.Sampled(c.ID) {
+	if quickSuccess && !s.leaveScheduled.Load() && !logging.Sampled(c.ID) {
 		return
 	}
 	load := s.load()
@@ -34,5 +35,6 @@
 		slog.Int("running", load.InFlight), slog.Int("queued", load.Queued), slog.Int("slots", load.Slots),
 		slog.Int64("patience_ms", c.MaxQueueWait.Milliseconds()),
 		slog.Bool("withdrawn", s.withdrawn.Load()), slog.Bool("leaving", s.leaving.Load()),
+		slog.Int64("leaving_ms", s.sinceLeaving(c.arrived).Milliseconds()),
 		slog.Int64("retry_after_ms", retryAfter.Milliseconds()))
 }
--- a/internal/service/ingress/log.go
+++ b/internal/service/ingress/log.go
@@ -27,7 +27,7 @@
 
 // recordRequest counts a request and logs its outcome. Of the requests that were
 // answered without a server error, a retry or a missed objective, only a sample is
-// logged.
+// logged, unless the node leaves.
 func (s *Service) recordRequest(entry requestLog, status int, outcome model.Outcome, reason model.Reason) {
 	now := s.clock.Now()
 	took := now.Sub(entry.begin)
@@ -35,10 +35,10 @@
 	s.metrics.count(rt, outcome, reason, took)
 	late := rt != nil && rt.Objective > 0 && took > rt.Objective
 	routine := outcome == model.OutcomeAnswered && status < http.StatusInternalServerError && entry.attempts <= 1 && !late
-	if routine && !logging.Sampled(entry.id) {
+	if routine && s.leavingSince.Load() == nil && !logging.Sampled(entry.id) {
 		return
 	}
-	attrs := make([]slog.Attr, 0, 14)
+	attrs := make([]slog.Attr, 0, 15)
 	attrs = append(attrs, slog.String("request", string(entry.id)), slog.String("from", entry.remoteAddr))
 	if rt != nil {
 		attrs = append(attrs, slog.String("route", rt.Name), slog.String("to", string(entry.match.Destination.Service.Name)),
@@ -53,5 +53,8 @@
 		slog.Int("attempts", entry.attempts), slog.Int64("took_ms", took.Milliseconds()),
 		slog.Int64("caller_waits_ms", entry.caller.Timeout.Milliseconds()), slog.Bool("late", late),
 		slog.Int64("retry_after_ms", entry.retryAfter.Milliseconds()))
+	if s.leavingSince.Load() != nil {
+		attrs = append(attrs, slog.Int64("leaving_ms", s.sinceLeaving(entry.begin).Milliseconds()))
+	}
 	s.log.LogAttrs(context.Background(), slog.LevelInfo, "request", attrs...)
 }
--- a/internal/service/ingress/serve.go
+++ b/internal/service/ingress/serve.go
@@ -26,8 +26,8 @@
 		id = s.newRequestID(number)
 	}
 	w.Header().Set(hop.HeaderRequestID, string(id))
-	defer s.inFlight.Add(-1)
-	match, refused := s.admit(r, s.inFlight.Add(1), number)
+	defer s.inFlight.remove(number)
+	match, refused := s.admit(r, s.inFlight.add(number, id, begin), number)
 	if refused == nil && headerErr != nil {
 		refused = notRun(http.StatusBadRequest, reasonInvalid)
 	}
@@ -36,6 +36,7 @@
 		s.refuse(w, entry, *refused)
 		return
 	}
+	s.inFlight.setRoute(number, match.Route.Name)
 	deadline := deadlineOf(caller, match.Route, begin)
 	ctx, cancel := s.withDeadline(r.Context(), deadline.Sub(begin))
 	defer cancel()
--- a/internal/service/ingress/service.go
+++ b/internal/service/ingress/service.go
@@ -92,9 +92,11 @@
 	served    chan error
 	idPrefix  string
 	lastID    atomic.Uint64
-	inFlight  atomic.Int64
-	// leaving is true once this node's presence is leaving or gone.
-	leaving atomic.Bool
+	inFlight  inFlight
+	// unused holds the connections on which no request has arrived yet, as net.Conn.
+	unused sync.Map
+	// leavingSince is when this node's presence became leaving; nil before.
+	leavingSince atomic.Pointer[time.Time]
 	// longestTimeouts holds the longest timeout that a caller has set, by route.
 	longestTimeouts sync.Map // routeKey -> *atomic.Int64
 }
@@ -158,6 +160,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
+		ConnState:         s.trackUnused,
 	}
 	s.served = make(chan error, 1)
 	go func() { s.served <- s.server.Serve(s.config.Listener) }()
@@ -166,7 +169,8 @@
 
 func (s *Service) handlePresenceChanged(m control.PresenceChanged) {
 	if m.Presence >= model.PresenceLeaving {
-		s.leaving.Store(true)
+		now := s.clock.Now()
+		s.leavingSince.CompareAndSwap(nil, &now)
 	}
 }
 
@@ -174,42 +178,11 @@
 // node is leaving. A connection that is still idle when the drain ends could be closed
 // while the caller's next request is in transit.
 func (s *Service) closeIfLeaving(h http.Header) {
-	if s.leaving.Load() {
+	if s.leavingSince.Load() != nil {
 		h.Set("Connection", "close")
 	}
 }
 
-// Stop implements kernel.Stopper. It waits until this node's server has drained, closes
-// the listener and the idle connections, and waits for the requests in flight.
-func (s *Service) Stop(ctx context.Context) error {
-	s.awaitServerDrained(ctx)
-	// SetKeepAlivesEnabled(false) must not come first: it closes connections whose
-	// next request has just been read, yet the server still handles that request.
-	err := s.server.Shutdown(ctx)
-	<-s.served
-	return err
-}
-
-// shutdownReserve is the part of the time allowed for Stop that is reserved for shutting
-// down the callers' connections.
-const shutdownReserve = 500 * time.Millisecond
-
-// awaitServerDrained waits until this node's server runs no request of other nodes, since
-// those requests make calls through this service.
-func (s *Service) awaitServerDrained(ctx context.Context) {
-	if s.gate == nil {
-		return
-	}
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-shutdownReserve))
-		defer cancel()
-	}
-	if !s.gate.AwaitDrained(ctx) {
-		s.log.Warn("this node's server still runs requests after the time allowed for draining; their calls are aborted")
-	}
-}
-
 // newRequestID returns an ID that is unique in the mesh: it contains the instance ID,
 // the incarnation (start time) of the process and the number of the request.
 func (s *Service) newRequestID(number uint64) model.RequestID {
