ingress: a leaving node accepts only requests that end before it does

Cause: the node kept its listener open until its own server had drained, up to 5.0 s, and accepted whatever came, with the caller's whole timeout. Nothing compared a request's time with the time that the node had left.

Ruled out for these requests: the shutdown of connections (net/http drops a request that it reads after the start of the shutdown, and does not handle it); the gate (the servers of the other domain were at work until the connection closed).

Change: the daemon says at SIGTERM when all requests must have ended (decision/drain). Ingress accepts a request only if its timeout ends by then or, while callers cannot know yet that the node leaves, if the longest recent request of its route would; others are refused at once as not run. Accepted requests get no deadline beyond the end, and what is still in flight then gets a response.

With the check always true, the new scenario fails (200 for a request whose timeout outlasts the node).

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -18,6 +18,10 @@
 // ErrDeadline is the cause of a context that ended at the request's deadline.
 var ErrDeadline = eris.New("the deadline of the request has passed")
 
+// ErrNodeStopping is the cause of a context that ended because the node that serves the
+// request ends.
+var ErrNodeStopping = eris.New("the node ends")
+
 // Request is one request of a caller together with its route.
 type Request struct {
 	ID          model.RequestID
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/galenalever/galenalever/internal/decision/drain"
 	"github.com/galenalever/galenalever/internal/decision/replicate"
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -119,6 +120,16 @@
 // MessageName implements kernel.Message.
 func (PresenceChanged) MessageName() string { return "presence-changed" }
 
+// DrainStarted tells when this node's accepted requests must have ended. It precedes
+// the message that the node's presence is leaving.
+// Sent by the daemon, handled by ingress.
+type DrainStarted struct {
+	Plan drain.Plan
+}
+
+// MessageName implements kernel.Message.
+func (DrainStarted) MessageName() string { return "drain-started" }
+
 // ReadScope is what a node reads from the platform.
 type ReadScope uint8
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/galenalever/galenalever/internal/cli"
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/drain"
 	"github.com/galenalever/galenalever/internal/decision/retry"
 	"github.com/galenalever/galenalever/internal/document"
 	"github.com/galenalever/galenalever/internal/frontend"
@@ -160,7 +161,7 @@
 		case <-ticker.C:
 			env.Reload(log, false)
 		case <-ctx.Done():
-			return drain(d, k, log)
+			return drainAndStop(d, k, log)
 		}
 	}
 }
@@ -176,15 +177,23 @@
 	}
 }
 
-// drain announces that the instance leaves, still accepts callers for DrainLead
+// stopReserve is the part of DrainTimeout that is reserved for stopping the services
+// once all requests have ended.
+const stopReserve = 400 * time.Millisecond
+
+// drainAndStop announces that the instance leaves, still accepts callers for DrainLead
 // while they are redirected to other nodes, then waits for running requests and
 // stops the services. All of this must end within DrainTimeout.
-func drain(d *settings.Daemon, k *kernel.Kernel, log *slog.Logger) error {
+func drainAndStop(d *settings.Daemon, k *kernel.Kernel, log *slog.Logger) error {
 	ctx, cancel := context.WithTimeout(context.Background(), d.DrainTimeout)
 	defer cancel()
 	log.Info("draining", "at_most", d.DrainTimeout)
-	if err := k.Loop().Post(ctx, control.PresenceChanged{Presence: model.PresenceLeaving}); err != nil {
-		return err
+	plan := drain.NewPlan(time.Now(), d.DrainLead, d.DrainTimeout, stopReserve)
+	messages := []kernel.Message{control.DrainStarted{Plan: plan}, control.PresenceChanged{Presence: model.PresenceLeaving}}
+	for _, message := range messages {
+		if err := k.Loop().Post(ctx, message); err != nil {
+			return err
+		}
 	}
 	if err := clock.Wait(ctx, clock.System{}, d.DrainLead); err != nil {
 		return err
--- /dev/null
+++ b/internal/decision/drain/drain_test.go
@@ -0,0 +1,71 @@
+package drain_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/decision/drain"
+)
+
+const ms = time.Millisecond
+
+// TestAccepts checks that a leaving node accepts a request only if it ends in time.
+func TestAccepts(t *testing.T) {
+	begin := time.Unix(1_700_000_000, 0)
+	plan := drain.NewPlan(begin, 2800*ms, 5500*ms, 400*ms) // ends after 5.1 s
+	tests := map[string]struct {
+		at, timeout, longest time.Duration
+		want                 bool
+	}{
+		"timeout ends in time":            {at: 4000 * ms, timeout: 1000 * ms, want: true},
+		"timeout ends with the node":      {at: 4100 * ms, timeout: 1000 * ms, want: true},
+		"timeout ends after the node":     {at: 4101 * ms, timeout: 1000 * ms, longest: 100 * ms},
+		"short requests in the lead":      {at: 2700 * ms, timeout: 5000 * ms, longest: 2400 * ms, want: true},
+		"long requests in the lead":       {at: 2700 * ms, timeout: 5000 * ms, longest: 2401 * ms},
+		"unknown requests in the lead":    {at: 2700 * ms, timeout: 5000 * ms},
+		"short requests after the lead":   {at: 2800 * ms, timeout: 5000 * ms, longest: 100 * ms},
+		"anything after the node's end":   {at: 5200 * ms, timeout: 10 * ms, longest: 10 * ms},
+		"unknown requests at once, short": {at: 0, timeout: 5000 * ms, want: true},
+	}
+	for name, test := range tests {
+		if got := plan.Accepts(begin.Add(test.at), test.timeout, test.longest); got != test.want {
+			t.Errorf("%s: got %t, want %t", name, got, test.want)
+		}
+	}
+}
+
+// TestLimit checks that no deadline of an accepted request lies after the node's end, and
+// that a short drain keeps most of its time.
+func TestLimit(t *testing.T) {
+	begin := time.Unix(1_700_000_000, 0)
+	plan := drain.NewPlan(begin, 0, 100*ms, 400*ms)
+	for deadline, want := range map[time.Duration]time.Duration{50 * ms: 50 * ms, 5000 * ms: 90 * ms} {
+		if got := plan.Limit(begin.Add(deadline)).Sub(begin); got != want {
+			t.Errorf("deadline %s: got %s, want %s", deadline, got, want)
+		}
+	}
+}
+
+// TestLongest checks that a duration counts for at least one window and at most two.
+func TestLongest(t *testing.T) {
+	const s = time.Second
+	var l drain.Longest
+	observe := func(took, at time.Duration) func() { return func() { l.Observe(took, at) } }
+	steps := []struct {
+		observe  func()
+		at, want time.Duration
+	}{
+		{func() {}, 0, 0},
+		{observe(300*ms, 1*s), 2 * s, 300 * ms},
+		{observe(200*ms, 29*s), 29 * s, 300 * ms},
+		{observe(100*ms, 31*s), 59 * s, 300 * ms},
+		{func() {}, 61 * s, 100 * ms},
+		{func() {}, 125 * s, 0},
+	}
+	for i, step := range steps {
+		step.observe()
+		if got := l.Value(step.at); got != step.want {
+			t.Errorf("step %d: got %s, want %s", i, got, step.want)
+		}
+	}
+}
--- a/internal/service/forward/attempt.go
+++ b/internal/service/forward/attempt.go
@@ -129,6 +129,8 @@
 		r.Reason = model.ReasonDeadline
 	case context.Cause(ctx) == call.ErrDeadline:
 		r.Reason = model.ReasonLate
+	case context.Cause(ctx) == call.ErrNodeStopping:
+		r.Reason = model.ReasonLeaving
 	case call.IsTooLarge(body.Err()):
 		r.Reason = model.ReasonTooLarge
 	case ctx.Err() != nil || body.Err() != nil:
--- a/internal/service/ingress/deadline.go
+++ b/internal/service/ingress/deadline.go
@@ -1,9 +1,14 @@
 package ingress
 
 import (
+	"context"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/galenalever/galenalever/internal/call"
+	"github.com/galenalever/galenalever/internal/decision/drain"
 	"github.com/galenalever/galenalever/internal/decision/urgency"
 	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/model"
@@ -25,6 +30,67 @@
 	return now.Add(timeout)
 }
 
+// fitToDrain returns the deadline of a request that arrives while the node leaves,
+// which is no later than the end of the node, or the refusal of a request that would
+// outlast the node.
+func (s *Service) fitToDrain(rt *model.Route, now, deadline time.Time) (time.Time, *refusal) {
+	plan := s.drainPlan.Load()
+	if plan == nil {
+		return deadline, nil
+	}
+	if !plan.Accepts(now, deadline.Sub(now), s.longestServed.value(rt, now.Sub(s.start))) {
+		return deadline, notRun(http.StatusServiceUnavailable, model.ReasonLeaving)
+	}
+	return plan.Limit(deadline), nil
+}
+
+// longestServed holds the longest recent time in which a request was answered, by route.
+// It is safe for concurrent use.
+type longestServed struct {
+	mu      sync.Mutex
+	byRoute map[routeKey]*drain.Longest
+}
+
+// observe adds the time that an answered request took; now is the time since the start.
+func (l *longestServed) observe(rt *model.Route, took, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := routeKey{team: rt.Team, name: rt.Name}
+	longest, ok := l.byRoute[key]
+	if !ok {
+		if l.byRoute == nil {
+			l.byRoute = make(map[routeKey]*drain.Longest)
+		}
+		longest = new(drain.Longest)
+		l.byRoute[key] = longest
+	}
+	longest.Observe(took, now)
+}
+
+// value returns the longest recent time on a route, or 0 if it is unknown.
+func (l *longestServed) value(rt *model.Route, now time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	longest, ok := l.byRoute[routeKey{team: rt.Team, name: rt.Name}]
+	if !ok {
+		return 0
+	}
+	return longest.Value(now)
+}
+
+// withDeadline returns a context that is cancelled after d with the cause
+// call.ErrDeadline, or when the node ends with the cause call.ErrNodeStopping.
+func (s *Service) withDeadline(parent context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	timer := s.clock.AfterFunc(d, func() { cancel(call.ErrDeadline) })
+	stop := context.AfterFunc(s.ended, func() { cancel(call.ErrNodeStopping) })
+	return ctx, func() {
+		timer.Stop()
+		stop()
+		cancel(nil)
+	}
+}
+
 // urgency returns the urgency of a request that arrived at now and whose response must
 // have arrived by the deadline.
 func (s *Service) urgency(caller frontend.CallerRequest, rt *model.Route, now, deadline time.Time) urgency.Urgency {
--- a/internal/service/ingress/log.go
+++ b/internal/service/ingress/log.go
@@ -33,6 +33,9 @@
 	took := now.Sub(entry.begin)
 	rt := entry.match.Route
 	s.metrics.count(rt, outcome, reason, took)
+	if outcome == model.OutcomeAnswered {
+		s.longestServed.observe(rt, took, now.Sub(s.start))
+	}
 	late := rt != nil && rt.Objective > 0 && took > rt.Objective
 	routine := outcome == model.OutcomeAnswered && status < http.StatusInternalServerError && entry.attempts <= 1 && !late
 	if routine && s.leavingSince.Load() == nil && !logging.Sampled(entry.id) {
--- a/internal/service/ingress/scenario_test.go
+++ b/internal/service/ingress/scenario_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/drain"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
@@ -52,6 +54,7 @@
 		"advance":  (*mesh).cmdAdvance,
 		"presence": (*mesh).cmdPresence,
 		"ledger":   (*mesh).cmdLedger,
+		"leave":    (*mesh).cmdLeave,
 		"stop":     (*mesh).cmdStop,
 		"watchdog": (*mesh).cmdWatchdog,
 		"reported": func(m *mesh, _ *datadriven.TestData) string { <-m.balancer.reports; return "" },
@@ -147,6 +150,16 @@
 	return ""
 }
 
+// cmdLeave begins a drain whose requests must have ended after "end".
+func (m *mesh) cmdLeave(d *datadriven.TestData) string {
+	now := m.clock.Now()
+	m.post(control.DrainStarted{Plan: drain.Plan{
+		LeadEnd: now.Add(durationArg(m, d, "lead", "0s")), End: now.Add(durationArg(m, d, "end", "0s")),
+	}})
+	m.post(control.PresenceChanged{Presence: model.PresenceLeaving})
+	return ""
+}
+
 func (m *mesh) cmdPresence(d *datadriven.TestData) string {
 	m.changeMember(stringArg(m, d, "gate", ""), func(member *model.Member) {
 		member.Announced.Incarnation = model.Incarnation(intArg(m, d, "incarnation", 7))
--- a/internal/service/ingress/serve.go
+++ b/internal/service/ingress/serve.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -37,7 +36,11 @@
 		return
 	}
 	s.inFlight.setRoute(number, match.Route.Name)
-	deadline := deadlineOf(caller, match.Route, begin)
+	deadline, refused := s.fitToDrain(match.Route, begin, deadlineOf(caller, match.Route, begin))
+	if refused != nil {
+		s.refuse(w, entry, *refused)
+		return
+	}
 	ctx, cancel := s.withDeadline(r.Context(), deadline.Sub(begin))
 	defer cancel()
 	setWriteDeadline(w, deadline.Sub(begin))
@@ -122,17 +125,6 @@
 	}
 }
 
-// withDeadline returns a context that is cancelled after d with the cause
-// call.ErrDeadline.
-func (s *Service) withDeadline(parent context.Context, d time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(parent)
-	timer := s.clock.AfterFunc(d, func() { cancel(call.ErrDeadline) })
-	return ctx, func() {
-		timer.Stop()
-		cancel(nil)
-	}
-}
-
 // writeGrace is the time that a caller has after the deadline to read the rest of
 // the response.
 const writeGrace = 5 * time.Second
--- a/internal/service/ingress/service.go
+++ b/internal/service/ingress/service.go
@@ -19,6 +19,7 @@
 	"github.com/galenalever/galenalever/internal/call"
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/drain"
 	"github.com/galenalever/galenalever/internal/decision/route"
 	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/kernel"
@@ -97,6 +98,14 @@
 	unused sync.Map
 	// leavingSince is when this node's presence became leaving; nil before.
 	leavingSince atomic.Pointer[time.Time]
+	// drainPlan is the schedule of the shutdown; nil before it begins.
+	drainPlan atomic.Pointer[drain.Plan]
+	// ended ends when all requests must have ended; end ends it.
+	ended context.Context
+	end   context.CancelFunc
+	// start is when the process began; longestServed counts from it.
+	start         time.Time
+	longestServed longestServed
 	// longestTimeouts holds the longest timeout that a caller has set, by route.
 	longestTimeouts sync.Map // routeKey -> *atomic.Int64
 }
@@ -110,7 +119,10 @@
 	if config.Headers == nil {
 		config.Headers = frontend.Native{}
 	}
+	ended, end := context.WithCancel(context.Background())
 	return &Service{
+		ended:    ended,
+		end:      end,
 		config:   config,
 		idPrefix: string(config.Self.ID) + "-" + strconv.FormatUint(uint64(config.Self.Incarnation), base) + "-",
 	}
@@ -139,10 +151,11 @@
 	if gate, err := kernel.Find[localGate](c, control.Gate); err == nil {
 		s.gate = gate
 	}
+	kernel.Subscribe(c.Loop, s.handleDrainStarted)
 	kernel.Subscribe(c.Loop, s.handlePresenceChanged)
 	s.table = routing.Table()
 	s.metrics.scope = scopes.Scope().SubScope("ingress")
-	s.clock = c.Clock
+	s.clock, s.start = c.Clock, c.Clock.Now()
 	s.log = c.Log
 	return nil
 }
@@ -167,6 +180,11 @@
 	return nil
 }
 
+func (s *Service) handleDrainStarted(m control.DrainStarted) {
+	s.drainPlan.Store(&m.Plan)
+	s.clock.AfterFunc(m.Plan.End.Sub(s.clock.Now()), s.end)
+}
+
 func (s *Service) handlePresenceChanged(m control.PresenceChanged) {
 	if m.Presence >= model.PresenceLeaving {
 		now := s.clock.Now()
