httpserver: unused connections do not use up the time of a shutdown

What callers saw: requests cut around planned stops; the log of a stopped node ends with 'stopping service "ingress": context deadline exceeded'.

Cause: http.Server.Shutdown waits five seconds for a connection on which no request has come yet. Half a second is left for it, so one such connection of a client, or of another node's connection pool, uses up the time of all services that stop later: the gate then stops with an expired context and closes the connections of calls that its server still runs.

Change: connections without a request are closed when the shutdown begins, in all four servers of a node. The server handles no request that it reads after that.

--- a/internal/service/exchange/listen.go
+++ b/internal/service/exchange/listen.go
@@ -8,6 +8,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-chi/chi/v5/middleware"
 
+	"github.com/galenalever/galenalever/internal/httpserver"
 	"github.com/galenalever/galenalever/internal/wire"
 )
 
@@ -38,6 +39,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	httpserver.CloseUnusedOnShutdown(s.server)
 	listener := &countingListener{Listener: s.config.Listener, bytes: &s.bytes}
 	s.tasks.Go(func() {
 		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -20,6 +20,7 @@
 	"github.com/galenalever/galenalever/internal/decision/dedupe"
 	"github.com/galenalever/galenalever/internal/decision/onewaydelay"
 	"github.com/galenalever/galenalever/internal/frontend"
+	"github.com/galenalever/galenalever/internal/httpserver"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
@@ -160,7 +161,7 @@
 )
 
 func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
+	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       maxRequestDuration,
@@ -168,6 +169,8 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	httpserver.CloseUnusedOnShutdown(server)
+	return server
 }
 
 // Name implements kernel.Service.
--- a/internal/service/ingress/drain.go
+++ b/internal/service/ingress/drain.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"time"
 )
 
@@ -13,7 +11,7 @@
 	s.awaitServerDrained(ctx)
 	// SetKeepAlivesEnabled(false) must not come first: it closes connections whose
 	// next request has just been read, yet the server still handles that request.
-	s.log.Info("closing the callers' listener", "in_flight", s.inFlight.count(), "unused_connections", s.unusedConnections())
+	s.log.Info("closing the callers' listener", "in_flight", s.inFlight.count(), "unused_connections", s.unused.Count())
 	err := s.server.Shutdown(ctx)
 	<-s.served
 	s.logCut()
@@ -39,24 +37,6 @@
 	return at.Sub(*since)
 }
 
-// trackUnused maintains the set of unused connections; it is the server's ConnState hook.
-func (s *Service) trackUnused(conn net.Conn, state http.ConnState) {
-	if state == http.StateNew {
-		s.unused.Store(conn, nil)
-		return
-	}
-	s.unused.Delete(conn)
-}
-
-func (s *Service) unusedConnections() int {
-	count := 0
-	s.unused.Range(func(any, any) bool {
-		count++
-		return true
-	})
-	return count
-}
-
 // shutdownReserve is the part of the time allowed for Stop that is reserved for shutting
 // down the callers' connections.
 const shutdownReserve = 500 * time.Millisecond
--- a/internal/service/ingress/service.go
+++ b/internal/service/ingress/service.go
@@ -22,6 +22,7 @@
 	"github.com/galenalever/galenalever/internal/decision/drain"
 	"github.com/galenalever/galenalever/internal/decision/route"
 	"github.com/galenalever/galenalever/internal/frontend"
+	"github.com/galenalever/galenalever/internal/httpserver"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -94,8 +95,8 @@
 	idPrefix  string
 	lastID    atomic.Uint64
 	inFlight  inFlight
-	// unused holds the connections on which no request has arrived yet, as net.Conn.
-	unused sync.Map
+	// unused tracks the connections on which no request has arrived yet.
+	unused *httpserver.Unused
 	// leavingSince is when this node's presence became leaving; nil before.
 	leavingSince atomic.Pointer[time.Time]
 	// drainPlan is the schedule of the shutdown; nil before it begins.
@@ -173,8 +174,8 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
-		ConnState:         s.trackUnused,
 	}
+	s.unused = httpserver.CloseUnusedOnShutdown(s.server)
 	s.served = make(chan error, 1)
 	go func() { s.served <- s.server.Serve(s.config.Listener) }()
 	return nil
--- a/internal/service/operator/operator.go
+++ b/internal/service/operator/operator.go
@@ -19,6 +19,7 @@
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/members"
+	"github.com/galenalever/galenalever/internal/httpserver"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/status"
@@ -142,6 +143,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
+	httpserver.CloseUnusedOnShutdown(s.server)
 	go s.serve()
 	return nil
 }
