ingress: a planned stop responds on open connections until it ends

What callers saw: while a stopping node waited for its last requests in flight, a request that arrived on another open connection was read and its connection closed without a response; if the node ran out of time, the services that stop later had none left.

Cause: http.Server.Shutdown was called first. From then on the server closes connections whose next request arrives, without a response, and Shutdown shared one time limit with the stops of all other services.

Change: Stop closes only the listener, refuses requests on open connections as not run, waits for the requests in flight, and shuts the connections down last. It leaves 0.2 s to the other services and reports how many requests it cut, each in the log.

--- a/internal/service/ingress/drain.go
+++ b/internal/service/ingress/drain.go
@@ -3,28 +3,57 @@
 import (
 	"context"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
+// stopReserve is the part of the time allowed for Stop that is left to the services that
+// stop after this one.
+const stopReserve = 200 * time.Millisecond
+
 // Stop implements kernel.Stopper. It waits until this node's server has drained, closes
-// the listener and the idle connections, and waits for the requests in flight.
+// the listener and waits for the requests in flight. Until these have ended, requests on
+// open connections are refused; then the connections are closed.
 func (s *Service) Stop(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-stopReserve))
+		defer cancel()
+	}
 	s.awaitServerDrained(ctx)
-	// SetKeepAlivesEnabled(false) must not come first: it closes connections whose
-	// next request has just been read, yet the server still handles that request.
 	s.log.Info("closing the callers' listener", "in_flight", s.inFlight.count(), "unused_connections", s.unused.Count())
-	err := s.server.Shutdown(ctx)
+	s.closing.Store(true)
+	err := s.config.Listener.Close()
 	<-s.served
-	s.logCut()
+	if !s.inFlight.awaitIdle(ctx) {
+		err = eris.Errorf("%d requests of callers are cut by the end of the process", s.logCut())
+	}
+	// Shutdown must come last: once it has begun, the server closes connections whose
+	// next request has arrived, without a response.
+	if shutdownErr := s.server.Shutdown(ctx); shutdownErr != nil {
+		s.log.Warn("callers have not read their responses in time; their connections are closed", "error", shutdownErr)
+		_ = s.server.Close()
+	}
 	return err
 }
 
-// logCut logs the requests whose connections the end of the process will close.
-func (s *Service) logCut() {
-	now := s.clock.Now()
-	for _, request := range s.inFlight.all() {
+// awaitServerDrained waits until this node's server runs no request of other nodes, since
+// those requests make calls through this service.
+func (s *Service) awaitServerDrained(ctx context.Context) {
+	if s.gate != nil && !s.gate.AwaitDrained(ctx) {
+		s.log.Warn("this node's server still runs requests after the time allowed for draining; their calls are aborted")
+	}
+}
+
+// logCut logs the requests whose connections the end of the process will close and
+// returns their number.
+func (s *Service) logCut() int {
+	now, cut := s.clock.Now(), s.inFlight.all()
+	for _, request := range cut {
 		s.log.Warn("request is cut by the end of the process", "request", request.id, "route", request.route,
 			"age_ms", now.Sub(request.begin).Milliseconds(), "leaving_ms", s.sinceLeaving(request.begin).Milliseconds())
 	}
+	return len(cut)
 }
 
 // sinceLeaving returns the time from the start of the drain until at: negative for an
@@ -36,23 +65,3 @@
 	}
 	return at.Sub(*since)
 }
-
-// shutdownReserve is the part of the time allowed for Stop that is reserved for shutting
-// down the callers' connections.
-const shutdownReserve = 500 * time.Millisecond
-
-// awaitServerDrained waits until this node's server runs no request of other nodes, since
-// those requests make calls through this service.
-func (s *Service) awaitServerDrained(ctx context.Context) {
-	if s.gate == nil {
-		return
-	}
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-shutdownReserve))
-		defer cancel()
-	}
-	if !s.gate.AwaitDrained(ctx) {
-		s.log.Warn("this node's server still runs requests after the time allowed for draining; their calls are aborted")
-	}
-}
--- a/internal/service/ingress/inflight.go
+++ b/internal/service/ingress/inflight.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -11,6 +12,8 @@
 type inFlight struct {
 	mu       sync.Mutex
 	requests map[uint64]flight
+	// idle is closed when the last request has ended; nil unless awaited.
+	idle chan struct{}
 }
 
 // flight is a request that is being served.
@@ -44,6 +47,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.requests, number)
+	if len(f.requests) == 0 && f.idle != nil {
+		close(f.idle)
+		f.idle = nil
+	}
 }
 
 func (f *inFlight) count() int {
@@ -62,3 +69,25 @@
 	}
 	return out
 }
+
+// awaitIdle waits until no request is being served and reports false if the context
+// ended first.
+func (f *inFlight) awaitIdle(ctx context.Context) bool {
+	for {
+		f.mu.Lock()
+		if len(f.requests) == 0 {
+			f.mu.Unlock()
+			return true
+		}
+		if f.idle == nil {
+			f.idle = make(chan struct{})
+		}
+		idle := f.idle
+		f.mu.Unlock()
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/service/ingress/open_connections_test.go
@@ -0,0 +1,101 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// openConn is a caller's connection that is kept open.
+type openConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (m *mesh) dial() *openConn {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(m.url, "http://"))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.t.Cleanup(func() { _ = conn.Close() })
+	return &openConn{Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// roundTrip sends a request and returns the status of its whole response.
+func (c *openConn) roundTrip(path string) (*http.Response, error) {
+	if _, err := io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response, err
+}
+
+// TestPlannedStopDropsRequestOnOpenConnection guards against a planned stop that closes
+// open connections while requests still arrive on them, and against one that an unused
+// connection keeps from ending in time.
+func TestPlannedStopDropsRequestOnOpenConnection(t *testing.T) {
+	m := newMesh(t)
+	m.tree.Services["shop/booking"] = &model.Service{Name: "shop/booking", Slots: 6, Queue: 12}
+	m.tree.Routes = append(m.tree.Routes, &model.Route{
+		Team: "shop", Name: "book", PathPrefix: "/book", Service: "shop/booking", Class: model.ClassShort, Deadline: 5 * time.Second,
+	})
+	gate, err := newFakeGate("k", 7, m.script)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.gates["k"] = gate
+	m.membership.members = append(m.membership.members, model.Member{
+		ID: "k", Service: "shop/booking", Domain: "jkt", Addresses: model.Addresses{Traffic: gate.listener.Addr().String()},
+		Announced: model.Announcement{Incarnation: 7, Presence: model.PresenceReady},
+	})
+	m.start(0)
+	m.publish()
+
+	idle := m.dial()
+	if response, err := idle.roundTrip("/book"); err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("before the stop: %v, %v", response, err)
+	}
+	m.dial() // unused
+	m.script.set([]string{"hold"})
+	held := make(chan error, 1)
+	busy := m.dial()
+	go func() {
+		response, err := busy.roundTrip("/book")
+		if err == nil && response.StatusCode != http.StatusOK {
+			err = io.ErrUnexpectedEOF
+		}
+		held <- err
+	}()
+	<-m.script.held
+
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second) // less than http.Server waits for unused connections
+	defer cancel()
+	m.stopped = make(chan error, 1)
+	go func() { m.stopped <- m.kernel.Stop(ctx) }()
+	<-m.listener.closed
+	time.Sleep(50 * time.Millisecond) // a server that closes its idle connections does so meanwhile
+	response, err := idle.roundTrip("/book")
+	if err != nil {
+		t.Errorf("request on an open connection while another one is in flight: %v", err)
+	} else if response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+		t.Errorf("request on an open connection: status %d, asks to close: %t", response.StatusCode, response.Close)
+	}
+	m.script.releases <- struct{}{}
+	if err := <-held; err != nil {
+		t.Errorf("request in flight: %v", err)
+	}
+	if err := <-m.stopped; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+}
--- a/internal/service/ingress/serve.go
+++ b/internal/service/ingress/serve.go
@@ -65,6 +65,9 @@
 // admit returns the route of a request, or the refusal. The number of the request
 // selects the destination of a route with several.
 func (s *Service) admit(r *http.Request, inFlight int64, number uint64) (route.Match, *refusal) {
+	if s.closing.Load() {
+		return route.Match{}, notRun(http.StatusServiceUnavailable, model.ReasonLeaving)
+	}
 	if inFlight > s.config.MaxInFlight {
 		return route.Match{}, notRun(http.StatusServiceUnavailable, model.ReasonQueueFull)
 	}
--- a/internal/service/ingress/service.go
+++ b/internal/service/ingress/service.go
@@ -97,6 +97,9 @@
 	inFlight  inFlight
 	// unused tracks the connections on which no request has arrived yet.
 	unused *httpserver.Unused
+	// closing is true once the listener is closed and requests on open connections are
+	// refused.
+	closing atomic.Bool
 	// leavingSince is when this node's presence became leaving; nil before.
 	leavingSince atomic.Pointer[time.Time]
 	// drainPlan is the schedule of the shutdown; nil before it begins.
@@ -197,7 +200,7 @@
 // node is leaving. A connection that is still idle when the drain ends could be closed
 // while the caller's next request is in transit.
 func (s *Service) closeIfLeaving(h http.Header) {
-	if s.leavingSince.Load() != nil {
+	if s.leavingSince.Load() != nil || s.closing.Load() {
 		h.Set("Connection", "close")
 	}
 }
