gate: a leaving gate accepts only calls that end before the node does

What callers saw: 502 for requests at which a server was at work, when the node beside that server was stopped while requests of other nodes ran there; LOST if the caller's node was stopped meanwhile.

Cause: for 2 s after SIGTERM the gate accepted calls with any deadline, up to 5 s, and its process ended 5.5 s after SIGTERM.

The caller's node can choose another server, so the gate need not guess.

Change: a leaving gate refuses calls whose deadline lies after the end of the drain, as not run. Calls from before SIGTERM that still run then are ended with the outcome unknown, so that the gate drains in time.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -122,7 +122,7 @@
 
 // DrainStarted tells when this node's accepted requests must have ended. It precedes
 // the message that the node's presence is leaving.
-// Sent by the daemon, handled by ingress.
+// Sent by the daemon, handled by ingress and gate.
 type DrainStarted struct {
 	Plan drain.Plan
 }
--- a/internal/service/gate/drain.go
+++ b/internal/service/gate/drain.go
@@ -6,6 +6,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
 )
 
@@ -14,6 +16,21 @@
 // a refusal.
 const lameDuckPeriod = 1500 * time.Millisecond
 
+func (s *Service) handleDrainStarted(m control.DrainStarted) {
+	s.drainPlan.Store(&m.Plan)
+	s.clock.AfterFunc(m.Plan.End.Sub(s.clock.Now()), s.endCalls)
+}
+
+// checkTimeLeft refuses a call that may outlast a node that leaves. How long calls usually
+// take does not matter, since the caller's node can choose another server.
+func (s *Service) checkTimeLeft(c *call) *refusal {
+	plan := s.drainPlan.Load()
+	if plan == nil || !c.deadline.After(plan.End) {
+		return nil
+	}
+	return notRun(model.ReasonLeaving)
+}
+
 // scheduleLeave makes the node not ready, and makes the gate refuse requests once
 // Config.ServeLeaving has passed.
 func (s *Service) scheduleLeave() {
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -18,6 +18,7 @@
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/admission"
 	"github.com/galenalever/galenalever/internal/decision/dedupe"
+	"github.com/galenalever/galenalever/internal/decision/drain"
 	"github.com/galenalever/galenalever/internal/decision/onewaydelay"
 	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/httpserver"
@@ -69,6 +70,11 @@
 	leaveScheduled, leaving atomic.Bool
 	// leaveScheduledAt is when leaveScheduled was set; nil before.
 	leaveScheduledAt atomic.Pointer[time.Time]
+	// drainPlan is the schedule of the shutdown; nil before it begins.
+	drainPlan atomic.Pointer[drain.Plan]
+	// ended ends when all calls must have ended; endCalls ends it.
+	ended    context.Context
+	endCalls context.CancelFunc
 	// withdrawn is true while the platform lists this node's backend server as
 	// leaving; the gate itself stays. listedSlots is the number of slots in the
 	// platform's listing, 0 if it names none.
@@ -138,6 +144,7 @@
 		newMembers:   make(chan model.Member, maxNewMembers),
 		knownMembers: make(map[model.InstanceID]model.Incarnation),
 	}
+	s.ended, s.endCalls = context.WithCancel(context.Background())
 	s.peers = newPeerClient()
 	s.peerServer = wire.NewGateServer(gateServer{gate: s})
 	s.http = newServer(s)
@@ -190,6 +197,7 @@
 		s.deps.statusPage.AddReadiness(control.Gate, s.ready)
 	}
 	kernel.Subscribe(c.Loop, s.handleConfigurationChanged)
+	kernel.Subscribe(c.Loop, s.handleDrainStarted)
 	kernel.Subscribe(c.Loop, s.handlePresenceChanged)
 	kernel.Subscribe(c.Loop, s.handleMembersChanged)
 	kernel.Subscribe(c.Loop, s.handleRefreshed)
--- a/internal/service/gate/response.go
+++ b/internal/service/gate/response.go
@@ -37,6 +37,11 @@
 
 func statusCode(r *refusal) int {
 	switch r.reason {
+	case model.ReasonLeaving:
+		if r.outcome == model.OutcomeUnknown {
+			return http.StatusBadGateway
+		}
+		return http.StatusServiceUnavailable
 	case model.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case model.ReasonDuplicate:
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -22,7 +22,7 @@
 
 // run sends a call that holds a slot to the server and relays the response.
 func (s *Service) run(c *call) {
-	ctx, cancel := c.context(s.clock)
+	ctx, cancel := s.runContext(c)
 	defer cancel()
 	if r := s.replicateKey(ctx, c); r != nil {
 		s.endUnreplicated(c, r)
@@ -48,6 +48,19 @@
 	s.handleResponse(ctx, c, response, target)
 }
 
+// runContext returns the context in which the request runs on the server: that of the
+// call, which also ends with the node.
+func (s *Service) runContext(c *call) (context.Context, context.CancelFunc) {
+	parent, cancelParent := c.context(s.clock)
+	ctx, cancel := context.WithCancelCause(parent)
+	stop := context.AfterFunc(s.ended, func() { cancel(errLeaving) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+		cancelParent()
+	}
+}
+
 // matchOf returns what a response of the server says about its request.
 func (s *Service) matchOf(r *http.Response) responsematch.Response {
 	result := s.headers.FromServer(r.StatusCode, r.Header)
@@ -116,6 +129,8 @@
 	switch {
 	case !s.clock.Now().Before(c.deadline):
 		return model.ReasonLate
+	case errors.Is(context.Cause(ctx), errLeaving):
+		return model.ReasonLeaving
 	case ctx.Err() != nil:
 		return model.ReasonCancelled
 	}
@@ -143,6 +158,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return model.ReasonDeadline
+	case errors.Is(context.Cause(ctx), errLeaving):
+		return model.ReasonLeaving
 	case ctx.Err() != nil:
 		return model.ReasonCancelled
 	}
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/drain"
 	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/service/gate"
@@ -140,6 +141,11 @@
 	case "schedule-leave":
 		must(n.kernel.Loop().Post(t.Context(), control.PresenceChanged{Presence: model.PresenceLeaving}))
 		waitFor(func() bool { return n.gate.Ready() != nil })
+	case "drain": // begins a shutdown that ends after "by"
+		plan := drain.NewPlan(s.clock.Now(), after, after, 0)
+		must(n.kernel.Loop().Post(t.Context(), control.DrainStarted{Plan: plan}))
+		must(n.kernel.Loop().Post(t.Context(), control.PresenceChanged{Presence: model.PresenceLeaving}))
+		waitFor(func() bool { return n.gate.Ready() != nil })
 	case "await-leaving": // waits until the gate refuses requests
 		waitFor(func() bool { return n.gate.Stats().Leaving })
 	case "leave":
--- a/internal/service/gate/serve.go
+++ b/internal/service/gate/serve.go
@@ -60,6 +60,9 @@
 // decide checks whether the request is a repeat, then whether it may run.
 func (s *Service) decide(c *call) {
 	refused := s.checkAvailability(c)
+	if refused == nil {
+		refused = s.checkTimeLeft(c)
+	}
 	if refused == nil {
 		refused = s.checkQuarantine(c)
 	}
