standin: record begin and end of each execution at a backend server

The ledger counted executions only, so a check could not tell whether a server was at work at the moment at which a caller lost its connection.

--- a/internal/standin/backend/backend_test.go
+++ b/internal/standin/backend/backend_test.go
@@ -122,4 +122,8 @@
 	if err := s.Drain(drainCtx); err != nil { // returns in time only if the cancelled request has ended
 		t.Error(err)
 	}
+	executions := s.Ledger().Of("r1")
+	if len(executions) != 1 || executions[0].Completed || executions[0].Ended.IsZero() {
+		t.Errorf("executions = %+v, want one that ended before its completion", executions)
+	}
 }
--- a/internal/standin/backend/request.go
+++ b/internal/standin/backend/request.go
@@ -54,12 +54,15 @@
 // body.
 func (s *Server) run(w http.ResponseWriter, r *http.Request, options runOptions, digest hash.Hash) {
 	id := r.Header.Get(HeaderLedgerID)
-	s.config.Ledger.record(id)
+	end := s.config.Ledger.begin(id, s.config.Name)
 	if r.Header.Get(HeaderCrash) == "yes" {
 		s.Crash()
+		end(false)
 		return
 	}
-	if !sleep(r.Context(), s.scaleRunTime(options.runTime)) {
+	completed := sleep(r.Context(), s.scaleRunTime(options.runTime))
+	end(completed)
+	if !completed {
 		return
 	}
 	response := Response{
