--- a/internal/standin/load/generator.go
+++ b/internal/standin/load/generator.go
@@ -9,10 +9,12 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/standin/backend"
@@ -159,26 +161,33 @@
 func (g *Generator) send(workload Workload, id, address string) Send {
 	s := Send{Address: address, At: time.Now()}
 	requestBody := workload.body(id)
-	s.Result, s.Detail = g.exchange(workload, id, address, requestBody)
+	s.Result, s.Detail, s.Status = g.exchange(workload, id, address, requestBody)
 	s.Took = time.Since(s.At)
 	return s
 }
 
-func (g *Generator) exchange(workload Workload, id, address string, requestBody []byte) (Result, string) {
+// exchange returns the result with its detail, and the status of the response or 0.
+func (g *Generator) exchange(workload Workload, id, address string, requestBody []byte) (Result, string, int) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	request, err := newRequest(ctx, workload, id, address, requestBody)
 	if err != nil {
-		return ResultCut, err.Error()
+		return ResultCut, err.Error(), 0
 	}
 	response, err := g.client.Do(request)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		return ResultNotRun, "connection refused"
+		return ResultNotRun, "connection refused", 0
 	}
 	if err != nil {
-		return ResultCut, err.Error()
+		return ResultCut, err.Error(), 0
 	}
 	defer response.Body.Close()
+	result, detail := readResult(response, workload, id, requestBody)
+	return result, detail, response.StatusCode
+}
+
+// readResult reads the body of a response and classifies it.
+func readResult(response *http.Response, workload Workload, id string, requestBody []byte) (Result, string) {
 	responseBody, err := io.ReadAll(response.Body)
 	if err != nil {
 		return ResultCut, "reading the response: " + err.Error()
@@ -202,11 +211,17 @@
 	}
 	request.GetBody = nil // keeps the HTTP client from sending a request again by itself
 	request.ContentLength = int64(len(requestBody))
+	if workload.Chunked {
+		request.ContentLength = -1
+	}
 	request.Host = workload.Host
 	request.Header.Set(backend.HeaderLedgerID, id)
 	if workload.HasIdempotencyKey {
 		request.Header.Set("Idempotency-Key", id)
 	}
+	if workload.Timeout > 0 {
+		request.Header.Set(frontend.HeaderTimeout, strconv.FormatInt(workload.Timeout.Milliseconds(), 10))
+	}
 	return request, nil
 }
 
--- a/internal/standin/load/record.go
+++ b/internal/standin/load/record.go
@@ -41,10 +41,18 @@
 	At     time.Time
 	Took   time.Duration
 	Result Result
+	// Written is the time at which the last byte of the request was sent; zero if that
+	// is unknown.
+	Written time.Time
+	// Status is the HTTP status of the response; 0 if there was none.
+	Status int
 	// Detail is the HTTP status and the reason given by the mesh, or the error.
 	Detail string
 }
 
+// End returns the time of the result.
+func (s Send) End() time.Time { return s.At.Add(s.Took) }
+
 // Record is one request with all its sends. It has at least one send.
 type Record struct {
 	// ID is also the ledger ID and the idempotency key.
--- a/internal/standin/load/workload.go
+++ b/internal/standin/load/workload.go
@@ -35,6 +35,22 @@
 	// sent; 0 means at once.
 	BodyBytes int
 	BodyTime  time.Duration
+	// Chunked sends the body without a length.
+	Chunked bool
+	// Timeout is how long the caller waits for the whole response, as it tells the node;
+	// 0 means until the route's deadline.
+	Timeout time.Duration
+	// RouteDeadline is the deadline of the route; 0 means none.
+	RouteDeadline time.Duration
+}
+
+// Deadline returns the time from the send of a request by which its response is due, or
+// 0 if there is no limit.
+func (w Workload) Deadline() time.Duration {
+	if w.Timeout > 0 && (w.RouteDeadline == 0 || w.Timeout < w.RouteDeadline) {
+		return w.Timeout
+	}
+	return w.RouteDeadline
 }
 
 // target returns the URL of a request to a node's address. The query contains the ID,
--- a/internal/standin/mesh/deployment.go
+++ b/internal/standin/mesh/deployment.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -59,6 +60,19 @@
 	}
 }
 
+// Scaled returns the deployment with about the given number of instances in the same
+// proportions. Every service keeps at least one instance in each failure domain.
+func (d Deployment) Scaled(instances int) Deployment {
+	present := len(d.Instances())
+	scaled := d
+	scaled.Services = slices.Clone(d.Services)
+	for i := range scaled.Services {
+		count := (scaled.Services[i].Instances*instances + present/2) / present
+		scaled.Services[i].Instances = max(count, len(d.Domains))
+	}
+	return scaled
+}
+
 // Instances returns all instances, assigned to the failure domains in turn.
 func (d Deployment) Instances() []Instance {
 	var all []Instance
--- a/internal/standin/mesh/mesh.go
+++ b/internal/standin/mesh/mesh.go
@@ -56,7 +56,9 @@
 	mu sync.Mutex
 	// disrupted is the set of processes that were killed or paused, by their address
 	// for callers.
-	disrupted map[string]bool
+	disrupted   map[string]bool
+	disruptions []Disruption
+	stops       []Stop
 }
 
 // New starts the platform, the backend servers and the links. Start starts the
--- a/internal/standin/mesh/node.go
+++ b/internal/standin/mesh/node.go
@@ -31,6 +31,8 @@
 	process   *process
 	addresses Addresses
 	paused    bool
+	// endDisruption records the end of the kill or pause that lasts; nil if none does.
+	endDisruption func()
 	// refusing is true while the links refuse connections.
 	refusing bool
 }
@@ -50,6 +52,7 @@
 	n.mu.Lock()
 	n.process, n.addresses, n.paused = p, addresses, false
 	n.mu.Unlock()
+	n.recordRecovery()
 	n.mesh.Platform.PutInstance(n.listing(platform.StateLive))
 	return nil
 }
@@ -129,7 +132,7 @@
 // Kill kills the process, if there is one. The links refuse connections until the next
 // start.
 func (n *Node) Kill() {
-	n.mesh.markDisrupted(n.Addresses().Callers)
+	n.recordDisruption("kill")
 	if p := n.detach(); p != nil {
 		p.kill()
 		n.refuseLinks()
@@ -177,7 +180,7 @@
 	if p == nil {
 		return
 	}
-	n.mesh.markDisrupted(n.Addresses().Callers)
+	n.recordDisruption("kill during drain")
 	n.mesh.Platform.PutInstance(n.listing(platform.StateLeaving))
 	_ = p.terminate(after) // an error is expected: the process was killed
 	n.refuseLinks()
@@ -193,17 +196,43 @@
 }
 
 // Pause suspends the process with SIGSTOP, which the process cannot handle.
-func (n *Node) Pause() { n.setPaused(true, syscall.SIGSTOP) }
+func (n *Node) Pause() {
+	n.recordDisruption("pause")
+	n.setPaused(true, syscall.SIGSTOP)
+}
 
 // Resume continues a paused process with SIGCONT.
-func (n *Node) Resume() { n.setPaused(false, syscall.SIGCONT) }
+func (n *Node) Resume() {
+	n.setPaused(false, syscall.SIGCONT)
+	n.recordRecovery()
+}
+
+// recordDisruption records that the process fails from now on, until recordRecovery.
+func (n *Node) recordDisruption(kind string) {
+	n.mesh.markDisrupted(n.Addresses().Callers)
+	end := n.mesh.BeginDisruption(n, kind)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.endDisruption != nil {
+		n.endDisruption()
+	}
+	n.endDisruption = end
+}
+
+func (n *Node) recordRecovery() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.endDisruption != nil {
+		n.endDisruption()
+		n.endDisruption = nil
+	}
+}
 
 // setPaused sends the process a signal and records whether it is now paused.
 func (n *Node) setPaused(paused bool, s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.process != nil {
-		n.mesh.markDisrupted(n.addresses.Callers)
 		n.paused = paused
 		n.process.signal(s)
 	}
--- a/internal/standin/mesh/process.go
+++ b/internal/standin/mesh/process.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"os/exec"
 	"slices"
 	"sync"
@@ -158,6 +159,16 @@
 	return slices.Clone(p.lines)
 }
 
+// warnings returns the last log lines that are warnings or errors.
+func (p *process) warnings() []string {
+	return slices.DeleteFunc(p.logLines(), func(line string) bool {
+		var entry struct {
+			Level slog.Level `json:"level"`
+		}
+		return json.Unmarshal([]byte(line), &entry) != nil || entry.Level < slog.LevelWarn
+	})
+}
+
 // lastLine returns "" if there is none.
 func (p *process) lastLine() string {
 	lines := p.logLines()
