standin: planned stops of whole failure domains in the soak, and a check for lost requests

Callers saw requests without a whole answer around the SIGTERM of the node that had taken them. The runs under failures stopped single nodes with 10 s to drain, and no caller sent to a node after its SIGTERM, so they could not show it.

Scenario planned-stops stops the nodes of failure domains in series, a second series beside the first, with the drain settings of the platform, and with clients that keep their connections until the process is gone. The check compares what these saw with the begin and end of the work at the servers. Scenario failures is the run as it was; a seed selects the scenario.

--- a/internal/standin/chaos/chaos.go
+++ b/internal/standin/chaos/chaos.go
@@ -11,10 +11,8 @@
 	"sync"
 	"time"
 
-	"github.com/galenalever/galenalever/internal/findings"
 	"github.com/galenalever/galenalever/internal/standin/load"
 	"github.com/galenalever/galenalever/internal/standin/mesh"
-	"github.com/galenalever/galenalever/internal/timeline"
 )
 
 const (
@@ -30,9 +28,6 @@
 	restartTime   = 500 * time.Millisecond
 	// maxSends is the maximum number of sends of a request that is refused as not run.
 	maxSends = 3
-	// drainTimeout is the nodes' drain timeout. It exceeds the duration of an upload, so
-	// that no drain interrupts one.
-	drainTimeout = "10s"
 )
 
 // Config holds the settings of a run.
@@ -41,6 +36,10 @@
 	Bin string
 	// Seed selects the failures.
 	Seed uint64
+	// Scenario is the kind of failures; if it is empty, the seed selects it.
+	Scenario Scenario
+	// Instances is the number of instances; 0 means that of the deployment.
+	Instances int
 	// Duration is the time during which failures are injected.
 	Duration time.Duration
 	// ResendUnknown makes callers resend a bid with the same idempotency key if it is
@@ -50,34 +49,32 @@
 	Out io.Writer
 }
 
-func workloads() []load.Workload {
-	const host = "lelang.example"
-	return []load.Workload{
-		{Name: "read", Method: "GET", Host: host, Path: "/lots", Idempotent: true, Rate: 80, ResponseBytes: 2000},
-		{Name: "bid", Method: "POST", Host: host, Path: "/bids", HasIdempotencyKey: true, Rate: 60, BodyBytes: 200},
-		{
-			Name: "upload", Method: "POST", Host: host, Path: "/photographs", Rate: 3,
-			BodyBytes: 400_000, BodyTime: 2 * time.Second, Run: 200 * time.Millisecond,
-		},
-	}
-}
-
 // run is a mesh with the components that load it, publish documents and check it.
 type run struct {
 	Config
 	mesh      *mesh.Mesh
 	observer  *mesh.Observer
 	generator *load.Generator
+	// kept are the clients that keep connections, or nil.
+	kept      *load.KeptClients
 	publisher *publisher
 }
 
 // Run runs the deployment under failures. The error lists every violation of a
 // guarantee, or says why the run could not be completed.
 func Run(ctx context.Context, c Config) error {
+	var err error
+	if c.Scenario, err = c.Scenario.resolve(c.Seed); err != nil {
+		return err
+	}
+	deployment := mesh.Egypt()
+	if c.Instances > 0 {
+		deployment = deployment.Scaled(c.Instances)
+	}
 	m, err := mesh.New(mesh.Config{
-		Deployment:  mesh.Egypt(),
+		Deployment:  deployment,
 		Program:     filepath.Join(c.Bin, "galenaleverd"),
-		Arguments:   []string{"--drain-timeout", drainTimeout},
+		Arguments:   c.Scenario.drain().arguments,
 		Latency:     serverLatency,
 		RestartTime: restartTime,
 		Seed:        c.Seed,
@@ -96,6 +93,9 @@
 		}),
 		publisher: newPublisher(m, observer),
 	}
+	if c.Scenario != ScenarioFailures {
+		r.kept = newKeptClients(m, fmt.Sprintf("kept%d", c.Seed), c.Seed)
+	}
 	err = r.execute(ctx)
 	if stopErr := m.Close(stopTimeout); err == nil {
 		err = stopErr
@@ -144,8 +144,11 @@
 	observing.Go(func() { r.observer.Run(observeCtx) })
 	var loading sync.WaitGroup
 	loading.Go(func() { r.generator.Run(loadCtx) })
+	if r.kept != nil {
+		loading.Go(func() { r.kept.Run(loadCtx) })
+	}
 	failureCtx, stopFailures := context.WithTimeout(ctx, r.Duration)
-	newInjector(r.mesh, r.publisher, r.Seed, r.Out).run(failureCtx, ctx)
+	newInjector(r.mesh, r.publisher, r.Config).run(failureCtx, ctx)
 	stopFailures()
 	stopLoad()
 	loading.Wait()
@@ -174,89 +177,3 @@
 	}
 	return reports, err
 }
-
-// collectViolations returns every violation of a guarantee and prints a summary.
-func (r *run) collectViolations(reports mesh.Reports, convergeErr error) findings.List {
-	var list findings.List
-	location := func(source string) findings.Location { return findings.Location{Source: source} }
-	records := r.generator.Records()
-	if convergeErr != nil {
-		list.Addf(location("convergence"), "%v", convergeErr)
-		r.addLaggingNodes(&list, reports)
-	}
-	for _, violation := range r.observer.Violations() {
-		list.Addf(location("versions"), "%s", violation)
-	}
-	for _, violation := range load.Violations(records, r.mesh.Ledger) {
-		list.Addf(location("calls"), "%s", violation)
-	}
-	for _, record := range r.cutByDrain(records) {
-		list.Addf(location("calls"), "connection lost at a node that was neither killed nor paused: %s", record)
-	}
-	if load.CountResults(records)[load.ResultAnswered] == 0 {
-		list.Addf(location("calls"), "no request was answered")
-	}
-	r.printSummary(records, len(list))
-	return list
-}
-
-// cutByDrain returns the requests that lost the connection to a node that was neither
-// killed nor paused. Such a node may at most have drained meanwhile, and a drain must
-// let running requests finish.
-func (r *run) cutByDrain(records []load.Record) []load.Record {
-	var lost []load.Record
-	for _, record := range records {
-		for _, send := range record.Sends {
-			if send.Result == load.ResultCut && !r.mesh.Disrupted(send.Address) {
-				lost = append(lost, record)
-			}
-		}
-	}
-	return lost
-}
-
-// addLaggingNodes adds a finding for each node that is unreachable or runs an older
-// version than expected.
-func (r *run) addLaggingNodes(list *findings.List, reports mesh.Reports) {
-	for _, n := range r.mesh.Nodes {
-		report, ok := reports[n.ID]
-		if !ok {
-			list.Addf(findings.Location{Source: "convergence", Path: n.ID}, "no status report")
-			continue
-		}
-		for key, revision := range r.publisher.expected() {
-			if running := report.Version.Running[key]; running < revision {
-				list.Addf(findings.Location{Source: "convergence", Path: n.ID}, "%s at %d, want %d; cut %d, held: %s",
-					key, running, revision, report.Version.Cut, report.Version.HeldText())
-			}
-		}
-	}
-}
-
-// printTimeline prints the events of all running nodes, which help to explain a
-// violation. It leaves out membership changes.
-func (r *run) printTimeline(ctx context.Context) {
-	const nodeWidth = 14
-	for _, event := range r.observer.Events(ctx) {
-		if event.Kind != timeline.KindMemberChanged {
-			fmt.Fprintln(r.Out, " ", event.Format(nodeWidth))
-		}
-	}
-}
-
-// printSummary prints the number of requests by result, those of unanswered requests
-// also by detail, and the numbers of status reports, platform calls and violations.
-func (r *run) printSummary(records []load.Record, violations int) {
-	counts := load.CountResults(records)
-	fmt.Fprintf(r.Out, "seed %d, %s: %d requests", r.Seed, r.Duration, len(records))
-	for _, result := range load.Results {
-		fmt.Fprintf(r.Out, ", %s %d", result, counts[result])
-	}
-	fmt.Fprintln(r.Out)
-	for _, line := range load.Summary(records) {
-		fmt.Fprintln(r.Out, line)
-	}
-	counters := r.mesh.Platform.Counters()
-	fmt.Fprintf(r.Out, "%d status reports checked; platform calls %d, at most %d in one second; violations: %d\n",
-		r.observer.Samples(), counters.Calls, counters.HighestPerSecond, violations)
-}
--- a/internal/standin/chaos/chaos_test.go
+++ b/internal/standin/chaos/chaos_test.go
@@ -17,7 +17,24 @@
 		t.Skip("starts 14 processes")
 	}
 	bin := buildDaemon(t)
-	config := chaos.Config{Bin: bin, Seed: 1, Duration: 10 * time.Second, Out: t.Output()}
+	config := chaos.Config{
+		Bin: bin, Seed: 1, Scenario: chaos.ScenarioFailures, Duration: 10 * time.Second, Out: t.Output(),
+	}
+	if err := chaos.Run(t.Context(), config); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestPlannedStopsLoseNoRequest guards against requests that nodes take during their
+// planned stop and leave without a whole answer.
+func TestPlannedStopsLoseNoRequest(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts 14 processes")
+	}
+	bin := buildDaemon(t)
+	config := chaos.Config{
+		Bin: bin, Seed: 1, Scenario: chaos.ScenarioStops, Duration: 10 * time.Second, Out: t.Output(),
+	}
 	if err := chaos.Run(t.Context(), config); err != nil {
 		t.Error(err)
 	}
--- a/internal/standin/chaos/failures.go
+++ b/internal/standin/chaos/failures.go
@@ -100,6 +100,7 @@
 func (i *injector) resetLinks(context.Context) {
 	n := i.mesh.Nodes[i.random.IntN(len(i.mesh.Nodes))]
 	i.logf("reset the connections to %s", n.ID)
+	defer i.mesh.BeginDisruption(n, "reset")()
 	n.Traffic.Reset()
 	n.Control.Reset()
 }
@@ -118,12 +119,14 @@
 // impairLinks sets the state of the links to a claimed node and later restores the
 // links and releases the node.
 func (i *injector) impairLinks(ctx context.Context, n *mesh.Node, state link.State) {
+	end := i.mesh.BeginDisruption(n, "impaired links")
 	n.Traffic.SetState(state)
 	n.Control.SetState(state)
 	i.repairLater(ctx, func() {
 		healed := link.State{Delay: mesh.Egypt().LinkDelay}
 		n.Traffic.SetState(healed)
 		n.Control.SetState(healed)
+		end()
 		i.releaseNode(n)
 		i.logf("links to %s restored", n.ID)
 	})
@@ -135,18 +138,15 @@
 		return
 	}
 	i.logf("drain and restart %s", n.ID)
-	i.repairs.Go(func() {
-		if err := n.Terminate(stopTimeout); err != nil {
-			i.logf("drain of %s failed: %v", n.ID, err)
-		}
-		i.restart(ctx, n)
-	})
+	i.repairs.Go(func() { i.stopAndRestart(ctx, plannedStop{node: n, listed: true}) })
 }
 
 // crashServer crashes the backend server of a node, which restarts after restartTime.
 func (i *injector) crashServer(context.Context) {
 	n := i.mesh.Nodes[i.random.IntN(len(i.mesh.Nodes))]
 	i.logf("crash the server of %s", n.ID)
+	end := i.mesh.BeginDisruption(n, "crash of the server")
+	time.AfterFunc(restartTime, end)
 	n.Backend.Crash()
 }
 
--- a/internal/standin/chaos/injector.go
+++ b/internal/standin/chaos/injector.go
@@ -38,6 +38,9 @@
 	publisher *publisher
 	random    *rand.Rand
 	out       io.Writer
+	// scenario selects the failures, grace is the time from SIGTERM to SIGKILL.
+	scenario Scenario
+	grace    time.Duration
 	// versionNumber is the number of the version published last.
 	versionNumber int
 	// repairs are the goroutines that end a failure later.
@@ -51,12 +54,14 @@
 	platformFailing bool
 }
 
-func newInjector(m *mesh.Mesh, p *publisher, seed uint64, out io.Writer) *injector {
+func newInjector(m *mesh.Mesh, p *publisher, c Config) *injector {
 	return &injector{
 		mesh:      m,
 		publisher: p,
-		random:    rand.New(rand.NewPCG(seed, seed)),
-		out:       out,
+		random:    rand.New(rand.NewPCG(c.Seed, c.Seed)),
+		out:       c.Out,
+		scenario:  c.Scenario,
+		grace:     c.Scenario.drain().grace,
 		claimed:   make(map[*mesh.Node]bool),
 	}
 }
@@ -64,10 +69,9 @@
 // run injects failures until ctx ends, then waits for all repairs and publishes a good
 // version of each team's document. When repairCtx ends, the repairs no longer wait.
 func (i *injector) run(ctx, repairCtx context.Context) {
-	actions := []func(context.Context){
-		i.killOne, i.killGroup, i.pauseOne, i.pauseOne, i.drainAndRestart, i.drainAndRestart,
-		i.failPlatform, i.publishBurst, i.publishBurst, i.crashServer, i.cutLinks,
-		i.pauseRepeatedly, i.killDuringDrain, i.reloadGroup, i.resetLinks, i.delayLinks,
+	actions := i.actions()
+	if i.scenario != ScenarioFailures {
+		i.stopTwoDomains(repairCtx)
 	}
 	for clock.Wait(ctx, clock.System{}, minInterval+i.randomDuration(intervalSpan)) == nil {
 		actions[i.random.IntN(len(actions))](repairCtx)
@@ -76,6 +80,26 @@
 	i.publishAllGood()
 }
 
+// actions returns the failures of the scenario, some repeated to be more frequent.
+func (i *injector) actions() []func(context.Context) {
+	failures := []func(context.Context){
+		i.killOne, i.killGroup, i.pauseOne, i.pauseOne, i.drainAndRestart, i.drainAndRestart,
+		i.failPlatform, i.publishBurst, i.publishBurst, i.crashServer, i.cutLinks,
+		i.pauseRepeatedly, i.killDuringDrain, i.reloadGroup, i.resetLinks, i.delayLinks,
+	}
+	planned := []func(context.Context){
+		i.stopDomain, i.stopTwoDomains, i.reloadGroup, i.publishBurst, i.failPlatform, i.slowServer,
+	}
+	switch i.scenario {
+	case ScenarioStops:
+		return planned
+	case ScenarioMixed:
+		return append(failures, planned...)
+	default:
+		return failures
+	}
+}
+
 // randomDuration returns a random duration in [0, span).
 func (i *injector) randomDuration(span time.Duration) time.Duration {
 	return time.Duration(i.random.Int64N(int64(span)))
@@ -92,13 +116,18 @@
 // the node already has one or fewer than minUnclaimed nodes would remain unclaimed.
 func (i *injector) claimNode() (*mesh.Node, bool) {
 	n := i.mesh.Nodes[i.random.IntN(len(i.mesh.Nodes))]
+	return n, i.claim(n)
+}
+
+// claim is claimNode for a given node.
+func (i *injector) claim(n *mesh.Node) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.claimed[n] || len(i.claimed) >= len(i.mesh.Nodes)-minUnclaimed {
-		return nil, false
+		return false
 	}
 	i.claimed[n] = true
-	return n, true
+	return true
 }
 
 func (i *injector) releaseNode(n *mesh.Node) {
--- a/internal/standin/chaos/publisher.go
+++ b/internal/standin/chaos/publisher.go
@@ -30,7 +30,7 @@
 		return err
 	}
 	for _, team := range mesh.Egypt().Teams() {
-		if err := p.publish(team, mesh.Egypt().Document(team), true); err != nil {
+		if err := p.publish(team, document(team), true); err != nil {
 			return err
 		}
 	}
@@ -54,7 +54,7 @@
 
 func (p *publisher) documentWithRoute(team model.TeamName, number int, service string) []byte {
 	name := fmt.Sprintf("version-%d", number)
-	return mesh.AddRoute(mesh.Egypt().Document(team), name, grantedPaths[team]+"/"+name, service)
+	return mesh.AddRoute(document(team), name, grantedPaths[team]+"/"+name, service)
 }
 
 // publish also records whether the version is good.
--- a/internal/standin/mesh/documents.go
+++ b/internal/standin/mesh/documents.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -32,6 +33,12 @@
 	return fmt.Appendf(nil, "%s\n  %s: {path: %s, service: %s, idempotent: true}\n", text, name, path, service)
 }
 
+// AddUnsafeRoute is AddRoute for a POST route that is not idempotent.
+func AddUnsafeRoute(document []byte, name, path, service string, deadline time.Duration) []byte {
+	text := strings.TrimRight(string(document), "\n")
+	return fmt.Appendf(nil, "%s\n  %s: {path: %s, methods: [POST], service: %s, deadline: %s}\n", text, name, path, service, deadline)
+}
+
 // Teams returns the teams of the deployment's services.
 func (d Deployment) Teams() []model.TeamName {
 	teams := make([]model.TeamName, len(d.Services))
--- a/internal/standin/mesh/node.go
+++ b/internal/standin/mesh/node.go
@@ -31,6 +31,8 @@
 	process   *process
 	addresses Addresses
 	paused    bool
+	// stopping is the process that Stop waits for, or nil.
+	stopping *process
 	// endDisruption records the end of the kill or pause that lasts; nil if none does.
 	endDisruption func()
 	// refusing is true while the links refuse connections.
@@ -186,12 +188,15 @@
 	n.refuseLinks()
 }
 
-// Reload sends the process SIGHUP, so that it reloads its settings.
+// Reload sends the process SIGHUP, so that it reloads its settings, also while it
+// stops.
 func (n *Node) Reload() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.process != nil {
-		n.process.signal(syscall.SIGHUP)
+	for _, p := range []*process{n.process, n.stopping} {
+		if p != nil {
+			p.signal(syscall.SIGHUP)
+		}
 	}
 }
 
--- a/internal/standin/mesh/stop.go
+++ b/internal/standin/mesh/stop.go
@@ -9,6 +9,9 @@
 	"github.com/galenalever/galenalever/internal/standin/platform"
 )
 
+// stopLogLines is the maximum number of log lines in the error of a stop.
+const stopLogLines = 3
+
 // Stop is a planned stop of a node's process.
 type Stop struct {
 	// Node is the ID of the instance, Callers the process's address for callers.
@@ -34,13 +37,22 @@
 	if listed {
 		n.mesh.Platform.PutInstance(n.listing(platform.StateLeaving))
 	}
+	n.setStopping(p)
 	s := Stop{Node: n.ID, Callers: n.Addresses().Callers, Signalled: time.Now(), Grace: grace}
 	s.Err = p.terminate(grace)
 	s.Ended = time.Now()
+	n.setStopping(nil)
 	if s.Err != nil {
-		s.Err = eris.Errorf("%v: %s", s.Err, strings.Join(p.warnings(), "; "))
+		lines := p.warningsSince(s.Signalled)
+		s.Err = eris.Errorf("%v: %s", s.Err, strings.Join(lines[max(0, len(lines)-stopLogLines):], "; "))
 	}
 	n.refuseLinks()
 	n.mesh.addStop(s)
 	return s.Err
 }
+
+func (n *Node) setStopping(p *process) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stopping = p
+}
