--- a/Makefile
+++ b/Makefile
@@ -30,15 +30,20 @@
 demo: build
 	$(BIN)/galenastand demo --bin $(BIN)
 
-# SEED selects the injected failures, DURATION how long they are injected.
+# SEED selects the injected failures, DURATION how long they are injected, SCENARIO
+# their kind (by default the seed selects it) and INSTANCES the number of nodes (0 is
+# that of the deployment).
 SEED ?= 1
 DURATION ?= 1m
+SCENARIO ?=
+INSTANCES ?= 0
+RUN = --bin $(BIN) --seed $(SEED) --scenario '$(SCENARIO)' --instances $(INSTANCES)
 chaos: build
-	$(BIN)/galenastand chaos --bin $(BIN) --seed $(SEED) --duration $(DURATION)
+	$(BIN)/galenastand chaos $(RUN) --duration $(DURATION)
 
 # SEEDS is the number of runs of 20 s each, with consecutive seeds from SEED on.
 # If MINUTES is not 0, no run starts after that many minutes.
 SEEDS ?= 50
 MINUTES ?= 0
 soak: build
-	$(BIN)/galenastand soak --bin $(BIN) --seed $(SEED) --seeds $(SEEDS) --minutes $(MINUTES) --duration 20s --logs $(BIN)/soak
+	$(BIN)/galenastand soak $(RUN) --seeds $(SEEDS) --minutes $(MINUTES) --duration 20s --logs $(BIN)/soak
--- a/internal/standin/chaos/lost_test.go
+++ b/internal/standin/chaos/lost_test.go
@@ -101,7 +101,3 @@
 		t.Errorf("findings %q, want one that names the node and the time", failed)
 	}
 }
-
-
-
-
