standin: nodes of the planned stops announce nothing, as under the platform

With announcements other nodes stop sending to a leaving gate at once, its server falls idle before the drain's lead is over, and no request is lost. In direct mode the gate is sent requests for 2 s more and ingress waits for them while it accepts callers.

--- a/internal/standin/chaos/chaos.go
+++ b/internal/standin/chaos/chaos.go
@@ -75,6 +75,7 @@
 		Deployment:  deployment,
 		Program:     filepath.Join(c.Bin, "galenaleverd"),
 		Arguments:   c.Scenario.drain().arguments,
+		Direct:      c.Scenario.direct(),
 		Latency:     serverLatency,
 		RestartTime: restartTime,
 		Seed:        c.Seed,
--- a/internal/standin/chaos/injector.go
+++ b/internal/standin/chaos/injector.go
@@ -167,7 +167,8 @@
 
 // failPlatform takes the platform down for a random time. Then the platform responds
 // with stale values for another time, and with current ones after that. It does nothing
-// if the platform already fails.
+// if the platform already fails. Nodes in direct mode are spared stale values: a fresh
+// process has only the platform to tell it the versions that were in force.
 func (i *injector) failPlatform(ctx context.Context) {
 	i.mu.Lock()
 	alreadyFailing := i.platformFailing
@@ -179,13 +180,18 @@
 	outage := []platform.Outage{platform.OutageError, platform.OutageClosed, platform.OutageSilent}[i.random.IntN(3)]
 	old := i.mesh.Platform.Revision() / 2
 	staleTime := minFailureTime + i.randomDuration(failureTimeSpan)
+	if i.scenario.direct() {
+		old, staleTime = 0, 0
+	}
 	i.logf("platform down (%s), then stale at revision %d for %s", outage, old, staleTime.Round(time.Millisecond))
 	i.mesh.Platform.SetMode(platform.Mode{Outage: outage})
 	i.repairLater(ctx, func() {
 		i.mesh.Platform.SetMode(platform.Mode{})
-		i.mesh.Platform.SetStaleAt(old)
-		_ = clock.Wait(ctx, clock.System{}, staleTime) // repair in any case
-		i.mesh.Platform.SetMode(platform.Mode{})
+		if staleTime > 0 {
+			i.mesh.Platform.SetStaleAt(old)
+			_ = clock.Wait(ctx, clock.System{}, staleTime) // repair in any case
+			i.mesh.Platform.SetMode(platform.Mode{})
+		}
 		i.logf("platform up and current")
 		i.mu.Lock()
 		defer i.mu.Unlock()
--- a/internal/standin/chaos/scenario.go
+++ b/internal/standin/chaos/scenario.go
@@ -15,11 +15,11 @@
 	// than any request needs.
 	ScenarioFailures Scenario = "failures"
 	// ScenarioStops has planned stops of whole failure domains beside other planned work,
-	// failures of the platform and slow servers. Nodes have little time to drain, and
-	// clients keep their connections to nodes that leave.
+	// failures of the platform and slow servers. Nodes announce nothing and have little
+	// time to drain, and clients keep their connections to nodes that leave.
 	ScenarioStops Scenario = "planned-stops"
 	// ScenarioMixed has the failures of both, with the drains and clients of
-	// ScenarioStops.
+	// ScenarioStops, and nodes that announce their presence.
 	ScenarioMixed Scenario = "mixed"
 )
 
@@ -39,6 +39,10 @@
 	return "", eris.Errorf("scenario %q does not exist", string(s))
 }
 
+// direct reports whether nodes announce nothing and know each other from the platform's
+// list only.
+func (s Scenario) direct() bool { return s == ScenarioStops }
+
 // drain is how nodes are stopped as planned.
 type drain struct {
 	// arguments are the nodes' command-line arguments.
--- a/internal/standin/mesh/mesh.go
+++ b/internal/standin/mesh/mesh.go
@@ -33,6 +33,8 @@
 	RestartTime time.Duration
 	// DirectTraffic sends requests between nodes directly instead of over a link.
 	DirectTraffic bool
+	// Direct makes the nodes read the platform at once and announce nothing to each other.
+	Direct bool
 	// Seed is the random seed of the links' jitter.
 	Seed uint64
 }
--- a/internal/standin/mesh/node.go
+++ b/internal/standin/mesh/node.go
@@ -76,6 +76,9 @@
 	if peers := n.mesh.peersOf(n); len(peers) > 0 {
 		args = append(args, "--peer", strings.Join(peers, ","))
 	}
+	if n.mesh.config.Direct {
+		args = append(args, "--direct", "--bootstrap-for", "0s")
+	}
 	return append(args, n.mesh.config.Arguments...)
 }
 
