--- a/internal/standin/mesh/process.go
+++ b/internal/standin/mesh/process.go
@@ -159,15 +159,14 @@
 	return slices.Clone(p.lines)
 }
 
-// warningsSince returns the last log lines that are warnings or errors and were logged
-// after a time.
-func (p *process) warningsSince(begin time.Time) []string {
+// errorsSince returns the last log lines that are errors and were logged after a time.
+func (p *process) errorsSince(begin time.Time) []string {
 	return slices.DeleteFunc(p.logLines(), func(line string) bool {
 		var entry struct {
 			Time  time.Time  `json:"time"`
 			Level slog.Level `json:"level"`
 		}
-		return json.Unmarshal([]byte(line), &entry) != nil || entry.Level < slog.LevelWarn || entry.Time.Before(begin)
+		return json.Unmarshal([]byte(line), &entry) != nil || entry.Level < slog.LevelError || entry.Time.Before(begin)
 	})
 }
 
--- a/internal/standin/mesh/stop.go
+++ b/internal/standin/mesh/stop.go
@@ -9,9 +9,6 @@
 	"github.com/galenalever/galenalever/internal/standin/platform"
 )
 
-// stopLogLines is the maximum number of log lines in the error of a stop.
-const stopLogLines = 3
-
 // Stop is a planned stop of a node's process.
 type Stop struct {
 	// Node is the ID of the instance, Callers the process's address for callers.
@@ -43,8 +40,7 @@
 	s.Ended = time.Now()
 	n.setStopping(nil)
 	if s.Err != nil {
-		lines := p.warningsSince(s.Signalled)
-		s.Err = eris.Errorf("%v: %s", s.Err, strings.Join(lines[max(0, len(lines)-stopLogLines):], "; "))
+		s.Err = eris.Errorf("%v: %s", s.Err, strings.Join(p.errorsSince(s.Signalled), "; "))
 	}
 	n.refuseLinks()
 	n.mesh.addStop(s)
