--- a/internal/standin/mesh/mesh.go
+++ b/internal/standin/mesh/mesh.go
@@ -33,6 +33,8 @@
 	RestartTime time.Duration
 	// DirectTraffic sends requests between nodes directly instead of over a link.
 	DirectTraffic bool
+	// Direct makes the nodes read the platform at once and announce nothing to each other.
+	Direct bool
 	// Seed is the random seed of the links' jitter.
 	Seed uint64
 }
@@ -56,7 +58,9 @@
 	mu sync.Mutex
 	// disrupted is the set of processes that were killed or paused, by their address
 	// for callers.
-	disrupted map[string]bool
+	disrupted   map[string]bool
+	disruptions []Disruption
+	stops       []Stop
 }
 
 // New starts the platform, the backend servers and the links. Start starts the
--- a/internal/standin/mesh/node.go
+++ b/internal/standin/mesh/node.go
@@ -31,6 +31,10 @@
 	process   *process
 	addresses Addresses
 	paused    bool
+	// stopping is the process that Stop waits for, or nil.
+	stopping *process
+	// endDisruption records the end of the kill or pause that lasts; nil if none does.
+	endDisruption func()
 	// refusing is true while the links refuse connections.
 	refusing bool
 }
@@ -50,6 +54,7 @@
 	n.mu.Lock()
 	n.process, n.addresses, n.paused = p, addresses, false
 	n.mu.Unlock()
+	n.recordRecovery()
 	n.mesh.Platform.PutInstance(n.listing(platform.StateLive))
 	return nil
 }
@@ -71,6 +76,9 @@
 	if peers := n.mesh.peersOf(n); len(peers) > 0 {
 		args = append(args, "--peer", strings.Join(peers, ","))
 	}
+	if n.mesh.config.Direct {
+		args = append(args, "--direct", "--bootstrap-for", "0s")
+	}
 	return append(args, n.mesh.config.Arguments...)
 }
 
@@ -129,7 +137,7 @@
 // Kill kills the process, if there is one. The links refuse connections until the next
 // start.
 func (n *Node) Kill() {
-	n.mesh.markDisrupted(n.Addresses().Callers)
+	n.recordDisruption("kill")
 	if p := n.detach(); p != nil {
 		p.kill()
 		n.refuseLinks()
@@ -177,33 +185,62 @@
 	if p == nil {
 		return
 	}
-	n.mesh.markDisrupted(n.Addresses().Callers)
+	n.recordDisruption("kill during drain")
 	n.mesh.Platform.PutInstance(n.listing(platform.StateLeaving))
 	_ = p.terminate(after) // an error is expected: the process was killed
 	n.refuseLinks()
 }
 
-// Reload sends the process SIGHUP, so that it reloads its settings.
+// Reload sends the process SIGHUP, so that it reloads its settings, also while it
+// stops.
 func (n *Node) Reload() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.process != nil {
-		n.process.signal(syscall.SIGHUP)
+	for _, p := range []*process{n.process, n.stopping} {
+		if p != nil {
+			p.signal(syscall.SIGHUP)
+		}
 	}
 }
 
 // Pause suspends the process with SIGSTOP, which the process cannot handle.
-func (n *Node) Pause() { n.setPaused(true, syscall.SIGSTOP) }
+func (n *Node) Pause() {
+	n.recordDisruption("pause")
+	n.setPaused(true, syscall.SIGSTOP)
+}
 
 // Resume continues a paused process with SIGCONT.
-func (n *Node) Resume() { n.setPaused(false, syscall.SIGCONT) }
+func (n *Node) Resume() {
+	n.setPaused(false, syscall.SIGCONT)
+	n.recordRecovery()
+}
+
+// recordDisruption records that the process fails from now on, until recordRecovery.
+func (n *Node) recordDisruption(kind string) {
+	n.mesh.markDisrupted(n.Addresses().Callers)
+	end := n.mesh.BeginDisruption(n, kind)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.endDisruption != nil {
+		n.endDisruption()
+	}
+	n.endDisruption = end
+}
+
+func (n *Node) recordRecovery() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.endDisruption != nil {
+		n.endDisruption()
+		n.endDisruption = nil
+	}
+}
 
 // setPaused sends the process a signal and records whether it is now paused.
 func (n *Node) setPaused(paused bool, s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.process != nil {
-		n.mesh.markDisrupted(n.addresses.Callers)
 		n.paused = paused
 		n.process.signal(s)
 	}
--- a/internal/standin/mesh/process.go
+++ b/internal/standin/mesh/process.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"os/exec"
 	"slices"
 	"sync"
@@ -158,6 +159,17 @@
 	return slices.Clone(p.lines)
 }
 
+// errorsSince returns the last log lines that are errors and were logged after a time.
+func (p *process) errorsSince(begin time.Time) []string {
+	return slices.DeleteFunc(p.logLines(), func(line string) bool {
+		var entry struct {
+			Time  time.Time  `json:"time"`
+			Level slog.Level `json:"level"`
+		}
+		return json.Unmarshal([]byte(line), &entry) != nil || entry.Level < slog.LevelError || entry.Time.Before(begin)
+	})
+}
+
 // lastLine returns "" if there is none.
 func (p *process) lastLine() string {
 	lines := p.logLines()
