ingress: a body that arrives late in a drain does not outlast the node

What callers saw (planned stops of the soak): requests whose chunked body came slowly were passed on up to 2.9 s after SIGTERM and answered 502 at the end of the drain, their server at work.

Cause: the time that a request needs was compared with the time that the node has left when its header came, not when its body was whole; a request whose header came before SIGTERM was not compared at all.

Change: the comparison is made again once the body has been read, before anything is passed on.

--- a/internal/service/ingress/open_connections_test.go
+++ b/internal/service/ingress/open_connections_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/decision/drain"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
@@ -41,18 +43,15 @@
 	return response, err
 }
 
-// TestPlannedStopDropsRequestOnOpenConnection guards against a planned stop that closes
-// open connections while requests still arrive on them, and against one that an unused
-// connection keeps from ending in time.
-func TestPlannedStopDropsRequestOnOpenConnection(t *testing.T) {
-	m := newMesh(t)
+// startWithGate starts the node with a route to a service that has one gate.
+func (m *mesh) startWithGate() {
 	m.tree.Services["shop/booking"] = &model.Service{Name: "shop/booking", Slots: 6, Queue: 12}
 	m.tree.Routes = append(m.tree.Routes, &model.Route{
-		Team: "shop", Name: "book", PathPrefix: "/book", Service: "shop/booking", Class: model.ClassShort, Deadline: 5 * time.Second,
+		Team: "shop", Name: "book", PathPrefix: "/book", Service: "shop/booking", Class: model.ClassShort, Deadline: 30 * time.Second,
 	})
 	gate, err := newFakeGate("k", 7, m.script)
 	if err != nil {
-		t.Fatal(err)
+		m.t.Fatal(err)
 	}
 	m.gates["k"] = gate
 	m.membership.members = append(m.membership.members, model.Member{
@@ -61,7 +60,41 @@
 	})
 	m.start(0)
 	m.publish()
+}
+
+// TestSlowBodyOutlastsPlannedStop guards against a request that is accepted by the time
+// of its header although its body arrives when too little of the drain is left.
+func TestSlowBodyOutlastsPlannedStop(t *testing.T) {
+	m := newMesh(t)
+	m.startWithGate()
+	conn := m.dial()
+	if _, err := io.WriteString(conn, "POST /book HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // the node reads the header meanwhile
+	now := m.clock.Now()
+	m.post(control.DrainStarted{Plan: drain.Plan{LeadEnd: now.Add(2800 * time.Millisecond), End: now.Add(5100 * time.Millisecond)}})
+	m.post(control.PresenceChanged{Presence: model.PresenceLeaving})
+	m.fakeClock.Advance(3500 * time.Millisecond)
+	if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(conn.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if ran := m.script.takeLedger(); response.StatusCode != http.StatusServiceUnavailable || len(ran) > 0 {
+		t.Errorf("status %d, gate: %v", response.StatusCode, ran)
+	}
+}
 
+// TestPlannedStopDropsRequestOnOpenConnection guards against a planned stop that closes
+// open connections while requests still arrive on them, and against one that an unused
+// connection keeps from ending in time.
+func TestPlannedStopDropsRequestOnOpenConnection(t *testing.T) {
+	m := newMesh(t)
+	m.startWithGate()
 	idle := m.dial()
 	if response, err := idle.roundTrip("/book"); err != nil || response.StatusCode != http.StatusOK {
 		t.Fatalf("before the stop: %v, %v", response, err)
--- a/internal/service/ingress/serve.go
+++ b/internal/service/ingress/serve.go
@@ -45,6 +45,9 @@
 	defer cancel()
 	setWriteDeadline(w, deadline.Sub(begin))
 	body, refused := s.readBody(w, r, match.Route, deadline)
+	if refused == nil { // the drain may have begun, or its time run out, since the header came
+		deadline, refused = s.fitToDrain(match.Route, s.clock.Now(), deadline)
+	}
 	if refused != nil {
 		s.refuse(w, entry, *refused)
 		return
