ingress: an upload that a server has begun is not refused as not run at its timeout

Cause: whenever reading the body ended at the deadline, the reason became 'slow-request' and the status 408, whatever the outcome.

Ruled out: the outcome itself; it was 'unknown' in the refused requests.

Change: only an upload that no server has is answered 408; any other gets 504.

--- a/internal/service/ingress/refusal.go
+++ b/internal/service/ingress/refusal.go
@@ -43,12 +43,22 @@
 func refusalOf(result *call.Result, body *call.Body) refusal {
 	r := refusal{outcome: result.Outcome, reason: result.Reason, retryAfter: result.RetryAfter}
 	if errors.Is(body.Err(), os.ErrDeadlineExceeded) {
-		r.reason = reasonSlow
+		r.reason = reasonOfLateBody(result.Outcome)
 	}
 	r.status = statusOf(r.outcome, r.reason)
 	return r
 }
 
+// reasonOfLateBody returns the reason of a request whose body was still arriving at its
+// deadline. A server may have begun to run it, and then reasonSlow would be untrue: its
+// status promises that the request has not run.
+func reasonOfLateBody(outcome model.Outcome) model.Reason {
+	if outcome == model.OutcomeNotRun {
+		return reasonSlow
+	}
+	return model.ReasonDeadline
+}
+
 // statusOf returns the HTTP status of a request without a server's response.
 func statusOf(outcome model.Outcome, reason model.Reason) int {
 	switch reason {
