source: the removal of a server that is known from other nodes is not lost

Cause: a removal names only the key. The adapter turned it into a record only if this process had decoded an entry of the server itself; it dropped it for a server that was known as a member from other nodes.

Ruled out: the start of the watch; it begins at the revision up to which the other nodes knew all changes, and the removal arrived.

Change: such a removal is reported by its ID, and the source turns it into a record of the member that the node knows.

--- a/internal/decision/platformread/instances.go
+++ b/internal/decision/platformread/instances.go
@@ -23,6 +23,26 @@
 	return removed
 }
 
+// Removal says that the platform lists an instance no more, by its ID alone.
+type Removal struct {
+	ID model.InstanceID
+	// Revision is the revision of the removal.
+	Revision model.Revision
+}
+
+// RemovalRecords returns removal records for those of the removed instances that are
+// known and were listed before.
+func RemovalRecords(view *members.View, removals []Removal) []model.Member {
+	var removed []model.Member
+	for _, r := range removals {
+		if known, ok := view.Get(r.ID); ok && wasListed(known, r.Revision) {
+			known.Listed, known.ListedAt = model.ListingRemoved, r.Revision
+			removed = append(removed, known)
+		}
+	}
+	return removed
+}
+
 // wasListed reports whether the platform listed the instance before revision and has
 // not removed it since.
 func wasListed(m model.Member, revision model.Revision) bool {
--- a/internal/decision/platformread/platformread_test.go
+++ b/internal/decision/platformread/platformread_test.go
@@ -135,3 +135,18 @@
 		t.Errorf("removed: %v", removed)
 	}
 }
+
+// TestRemovalRecords checks that the removal of a known instance is a record, also if the
+// instance is known from other nodes only.
+func TestRemovalRecords(t *testing.T) {
+	listed := func(id string, at model.Revision) model.Member {
+		return model.Member{ID: model.InstanceID(id), Service: "shop/a", Listed: model.ListingLive, ListedAt: at}
+	}
+	view, _ := members.New(1).With(listed("old", 2), listed("newer", 9), model.Member{ID: "unlisted"})
+	got := platformread.RemovalRecords(view, []platformread.Removal{
+		{ID: "old", Revision: 5}, {ID: "newer", Revision: 5}, {ID: "unlisted", Revision: 5}, {ID: "unknown", Revision: 5},
+	})
+	if len(got) != 1 || got[0].ID != "old" || got[0].Listed != model.ListingRemoved || got[0].ListedAt != 5 || got[0].Service != "shop/a" {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/internal/service/source/instances.go
+++ b/internal/service/source/instances.go
@@ -81,7 +81,8 @@
 
 // listInstances returns the changes of the instance list. It adds to a complete listing
 // removal records for the known instances that are missing in it. A response that is
-// older than an earlier one is rejected with platformread.ErrStale.
+// older than an earlier one is rejected with platformread.ErrStale. An instance of which only
+// the ID is known may be known from other nodes.
 func (s *Service) listInstances(ctx context.Context, wait time.Duration) (InstanceListing, error) {
 	if err := s.awaitRateLimit(ctx); err != nil {
 		return InstanceListing{}, err
@@ -94,6 +95,7 @@
 	for _, invalid := range list.InvalidEntries {
 		s.log.Warn("invalid entry in the platform's instance list", "error", invalid, "listed_at", list.Revision)
 	}
+	list.Members = append(list.Members, platformread.RemovalRecords(s.members.Load(), list.Removed)...)
 	if list.Partial {
 		return list, nil
 	}
--- a/internal/service/source/platform.go
+++ b/internal/service/source/platform.go
@@ -50,6 +50,8 @@
 type InstanceListing struct {
 	Revision model.Revision
 	Members  []model.Member
+	// Removed holds the removals of instances of which the platform names only the ID.
+	Removed []platformread.Removal
 	// InvalidEntries holds an error for each entry that identifies no instance.
 	InvalidEntries []error
 	// Complete is true if the listing contains all instances, not only those that
