backend: a response that is reset during an upload is not complete

What callers saw: a server answered an upload early, without a length, and reset the connection in the middle of its body. The caller got a 200 whose short body was framed as whole (chunked, with its last chunk).

Cause: the system reports a reset once. While the request is still being written, the write can receive ECONNRESET, and the read of the response then sees the end of the stream, which is how a response without a length ends. net/http passes that end on before it notices the failed write.

Ruled out: resets without a write in progress (the read gets the error), and responses with a length or in chunks (an early end is an error there). The nodes' own connections always carry a length or chunks.

Change: at the end of the stream trackedConn ends a write in progress and returns an error if a write failed with ECONNRESET. A server that ends its stream first makes writes fail with EPIPE, so its response stays complete.

--- a/internal/service/backend/connection.go
+++ b/internal/service/backend/connection.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -33,6 +37,9 @@
 	errReplay    = eris.New("request was already written to another connection")
 )
 
+// errReset is the error of a read whose connection was reset during a write.
+var errReset = eris.New("the server reset the connection while a request was written to it")
+
 func newTransport(idle time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
@@ -101,6 +108,30 @@
 	guard atomic.Pointer[writeGuard]
 	// carried is used by one request at a time, that which the connection carries.
 	carried responsematch.Connection
+	// writing is held during a write. resetInWrite is true if a write failed because
+	// the server reset the connection.
+	writing      sync.Mutex
+	resetInWrite bool
+}
+
+// Read implements net.Conn. The system reports a reset once: if a write receives the
+// error, a read sees the end of the stream, which can be the end of a response without a
+// length. Read then returns errReset.
+func (c *trackedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && c.wasResetInWrite() {
+		return n, errReset
+	}
+	return n, err
+}
+
+// wasResetInWrite ends a write that is in progress. The server sends nothing more, so
+// the connection is of no further use.
+func (c *trackedConn) wasResetInWrite() bool {
+	_ = c.SetWriteDeadline(time.Now())
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.resetInWrite
 }
 
 // Write implements net.Conn. It fails if the guard of the current request refuses
@@ -108,15 +139,25 @@
 func (c *trackedConn) Write(b []byte) (int, error) {
 	g := c.guard.Load()
 	if g == nil {
-		return c.Conn.Write(b)
+		return c.write(b)
 	}
 	first, err := g.claim(c)
 	if err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Write(b)
+	n, err := c.write(b)
 	if first && n == 0 && err != nil {
 		g.owner.CompareAndSwap(c, nil) // nothing was written, so a retry is safe
 	}
 	return n, err
 }
+
+func (c *trackedConn) write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if errors.Is(err, syscall.ECONNRESET) {
+		c.resetInWrite = true
+	}
+	return n, err
+}
