gate: two responses that run into each other are not believed

What callers saw: on a kept connection a server broke off in the head of an earlier response, sent once more, and then answered the next request. Callers got the status of the broken head for a request that had run: a 503 "not run, try again" instead of the 200, or a 200 or 204 instead of the failure.

Cause: net/http reads a status line that follows an unfinished line as the rest of that line, so the response has the status, and some headers, of the first head and the ID of the second one. The ID alone was compared.

Ruled out: a cut between lines, in a header name, in the version or in the status code is an error in net/http, and a head whose own ID line is whole names the other request.

Change: a response whose reason phrase or a header value ends with a status line is spliced; responsematch rejects it, its outcome is unknown and its connection is closed. Servers whose protocol has no IDs are not affected, as such a value can be legitimate there.

--- a/internal/decision/responsematch/responsematch.go
+++ b/internal/decision/responsematch/responsematch.go
@@ -24,6 +24,8 @@
 	NotRun bool
 	// SwitchesProtocol is true if what follows on the connection is another protocol.
 	SwitchesProtocol bool
+	// Spliced is true if its head contains the beginning of another response.
+	Spliced bool
 }
 
 // Connection records what a connection has carried. The zero value is a new
@@ -38,7 +40,8 @@
 // Accept records a response and reports whether it can be the one to the request. A
 // response that names another request is not. Neither is a refusal without an ID on a
 // connection that was used before, or a second refusal of the same request: both may be
-// copies of an earlier one, while the server runs the request.
+// copies of an earlier one, while the server runs the request. Nor is a spliced response,
+// whose status and ID may come from two responses.
 func (c *Connection) Accept(request model.RequestID, r Response) bool {
 	used := c.used
 	c.used = true
@@ -47,6 +50,8 @@
 		return false
 	case r.WithoutID && !r.NotRun: // the server's protocol has no IDs
 		return true
+	case r.Spliced:
+		return false
 	case r.WithoutID:
 		return !used
 	case r.ID != request:
--- a/internal/service/gate/repeated_response_test.go
+++ b/internal/service/gate/repeated_response_test.go
@@ -138,6 +138,18 @@
 // exchange sends a request to the gate and returns the outcome that the gate reports and
 // the body.
 func (n *node) exchange(t *testing.T, method, id string) (model.Outcome, string) {
+	t.Helper()
+	response, err := n.send(t, method, id)
+	if err != nil {
+		return model.OutcomeUnknown, ""
+	}
+	defer response.Body.Close()
+	outcome, _, body := readOutcome(t, response)
+	return outcome, body
+}
+
+// send sends a request to the gate on a connection of its own.
+func (n *node) send(t *testing.T, method, id string) (*http.Response, error) {
 	t.Helper()
 	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+n.address+"/units", nil)
 	must(err)
@@ -146,15 +158,16 @@
 		ID: model.RequestID(id), Service: serviceName, Class: model.ClassShort,
 		Idempotent: method == http.MethodGet, Attempt: 1, Timeout: time.Second,
 	}.Encode(r.Header)
-	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
-	if err != nil {
-		return model.OutcomeUnknown, ""
-	}
-	defer response.Body.Close()
+	return (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+}
+
+// readOutcome returns the outcome that the gate reports, the status and the body.
+func readOutcome(t *testing.T, response *http.Response) (model.Outcome, int, string) {
+	t.Helper()
 	body, err := io.ReadAll(response.Body)
 	head, ok := hop.DecodeResponse(response.Header)
 	if !ok || err != nil {
 		t.Fatalf("response %s: %v", response.Status, err)
 	}
-	return head.Outcome, string(body)
+	return head.Outcome, response.StatusCode, string(body)
 }
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -48,15 +48,6 @@
 	s.handleResponse(ctx, c, response, target)
 }
 
-// matchOf returns what a response of the server says about its request.
-func (s *Service) matchOf(r *http.Response) responsematch.Response {
-	result := s.headers.FromServer(r.StatusCode, r.Header)
-	return responsematch.Response{
-		ID: result.ID, WithoutID: result.WithoutID, NotRun: result.NotRun,
-		SwitchesProtocol: r.StatusCode == http.StatusSwitchingProtocols,
-	}
-}
-
 // handleResponse relays the server's response to the call, or its refusal.
 func (s *Service) handleResponse(ctx context.Context, c *call, response *http.Response, target model.InstanceID) {
 	result := s.headers.FromServer(response.StatusCode, response.Header)
