gate: a success without its seal is not passed on

What callers would see: a server breaks off in its response's head and other bytes end the head. If the cut comes after the request ID, callers get a 200 without the server's seal, with a Content-Length of fewer digits and a short body that is framed as whole.

Cause: the gate compared the request ID only.

Ruled out: a head that is only cut. net/http accepts a head only with its blank line, at whatever byte the connection ends.

--- a/internal/decision/responsematch/responsematch.go
+++ b/internal/decision/responsematch/responsematch.go
@@ -26,6 +26,8 @@
 	SwitchesProtocol bool
 	// Spliced is true if its head contains the beginning of another response.
 	Spliced bool
+	// Incomplete is true if it lacks a header that every response of its kind carries.
+	Incomplete bool
 }
 
 // Connection records what a connection has carried. The zero value is a new
@@ -41,7 +43,7 @@
 // response that names another request is not. Neither is a refusal without an ID on a
 // connection that was used before, or a second refusal of the same request: both may be
 // copies of an earlier one, while the server runs the request. Nor is a spliced response,
-// whose status and ID may come from two responses.
+// whose status and ID may come from two responses, or an incomplete one.
 func (c *Connection) Accept(request model.RequestID, r Response) bool {
 	used := c.used
 	c.used = true
@@ -50,7 +52,7 @@
 		return false
 	case r.WithoutID && !r.NotRun: // the server's protocol has no IDs
 		return true
-	case r.Spliced:
+	case r.Spliced, r.Incomplete:
 		return false
 	case r.WithoutID:
 		return !used
--- a/internal/decision/responsematch/responsematch_test.go
+++ b/internal/decision/responsematch/responsematch_test.go
@@ -32,6 +32,7 @@
 		"protocol without IDs":                 {{"a", responsematch.Response{WithoutID: true}, true}, {"b", responsematch.Response{WithoutID: true}, true}},
 		"switch of protocols":                  {{"a", responsematch.Response{ID: "a", SwitchesProtocol: true}, false}},
 		"head of two responses":                {{"a", responsematch.Response{ID: "a", Spliced: true}, false}},
+		"head without a header of its kind":    {{"a", responsematch.Response{ID: "a", Incomplete: true}, false}, {"b", answer("b"), true}},
 		"refusal without an ID, spliced":       {{"a", responsematch.Response{WithoutID: true, NotRun: true, Spliced: true}, false}},
 	} {
 		var c responsematch.Connection
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -63,6 +63,9 @@
 	ID model.RequestID
 	// WithoutID is true if responses of this kind carry no request ID.
 	WithoutID bool
+	// Incomplete is true if the response lacks a header that every response of its kind
+	// carries.
+	Incomplete bool
 	// NotRun is true if the server states that it did not run the request.
 	NotRun bool
 	// Misdirected is true if the server that responded is not the target.
--- a/internal/service/backend/do.go
+++ b/internal/service/backend/do.go
@@ -29,16 +29,18 @@
 // server may have executed it.
 func (e *Error) MayHaveRun() bool { return e.written }
 
-// errForeignResponse is the cause of an Error if the response belongs to another request.
-var errForeignResponse = eris.New("the response belongs to another request")
+// errForeignResponse is the cause of an Error if the response was not accepted as the one
+// to the request.
+var errForeignResponse = eris.New("the response belongs to another request or is incomplete")
 
-// ForeignResponse reports whether the server sent a response, but not to this request.
+// ForeignResponse reports whether the server sent a response that was not accepted as the
+// one to this request.
 func (e *Error) ForeignResponse() bool { return errors.Is(e.cause, errForeignResponse) }
 
 // Do sends a request to the server and returns the response, whose body the caller
 // must close. Writing does not begin after notAfter, and the request is not written
 // twice. An idempotent request may use a connection that was idle for longer. accept
-// reports whether the response belongs to the request, given what its connection carried
+// reports whether the head is that of the response to the request, given what its connection carried
 // before; if not, the connection is closed. Errors are of type *Error. The URL of r must
 // contain only path and query.
 func (s *Service) Do(
--- a/internal/service/gate/match.go
+++ b/internal/service/gate/match.go
@@ -13,7 +13,7 @@
 	return responsematch.Response{
 		ID: result.ID, WithoutID: result.WithoutID, NotRun: result.NotRun,
 		SwitchesProtocol: r.StatusCode == http.StatusSwitchingProtocols,
-		Spliced:          isSpliced(r),
+		Spliced:          isSpliced(r), Incomplete: result.Incomplete,
 	}
 }
 
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -16,7 +16,8 @@
 type exchangeError interface {
 	// MayHaveRun reports whether any byte of the request was written.
 	MayHaveRun() bool
-	// ForeignResponse reports whether the response belongs to another request.
+	// ForeignResponse reports whether the response was not accepted as the one to the
+	// request.
 	ForeignResponse() bool
 }
 
