responsematch: record the requests of a connection one by one

What callers could see: a refusal without an ID that was written once more was believed, "not run" for a request that ran, or the node's record of refusals was damaged.

Cause: net/http returns a connection to its pool before it hands over a response without a body. The next request was then written, and its response judged, while the response to the previous one had not been: two goroutines used the connection's record at a time, and the second request could be taken for the first one on its connection.

Ruled out: refusals of the same ID, since a request is repeated only after its refusal has been passed on.

Change: a request is recorded when it is assigned to its connection, before it is written, and the record is locked.

TestEarlyRequestMakesConnectionUsed states the order.

--- a/internal/decision/responsematch/responsematch.go
+++ b/internal/decision/responsematch/responsematch.go
@@ -6,6 +6,7 @@
 
 import (
 	"slices"
+	"sync"
 
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -30,23 +31,39 @@
 	Incomplete bool
 }
 
-// Connection records what a connection has carried. The zero value is a new
-// connection. It is not safe for concurrent use.
+// Connection records what a connection has carried. The zero value is a new connection.
+// It is safe for concurrent use, as the next request can be sent on a connection before
+// the response to the last one has been judged.
 type Connection struct {
-	// used is true after the first response.
+	mu sync.Mutex
+	// used is true after the first request.
 	used bool
 	// refused holds the IDs of the last requests that the server refused.
 	refused []model.RequestID
 }
 
+// Exchange is a request on a connection and the response to it.
+type Exchange struct {
+	connection *Connection
+	// first is true if the connection carried no request before.
+	first bool
+}
+
+// Begin records that a request is sent.
+func (c *Connection) Begin() Exchange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := !c.used
+	c.used = true
+	return Exchange{connection: c, first: first}
+}
+
 // Accept records a response and reports whether it can be the one to the request. A
 // response that names another request is not. Neither is a refusal without an ID on a
 // connection that was used before, or a second refusal of the same request: both may be
 // copies of an earlier one, while the server runs the request. Nor is a spliced response,
 // whose status and ID may come from two responses, or an incomplete one.
-func (c *Connection) Accept(request model.RequestID, r Response) bool {
-	used := c.used
-	c.used = true
+func (e Exchange) Accept(request model.RequestID, r Response) bool {
 	switch {
 	case r.SwitchesProtocol:
 		return false
@@ -55,12 +72,20 @@
 	case r.Spliced, r.Incomplete:
 		return false
 	case r.WithoutID:
-		return !used
+		return e.first
 	case r.ID != request:
 		return false
 	case !r.NotRun:
 		return true
-	case slices.Contains(c.refused, request):
+	}
+	return e.connection.recordRefusal(request)
+}
+
+// recordRefusal records a refusal and reports whether it is the first one of the request.
+func (c *Connection) recordRefusal(request model.RequestID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.Contains(c.refused, request) {
 		return false
 	}
 	if len(c.refused) == maxRefused {
--- a/internal/decision/responsematch/responsematch_test.go
+++ b/internal/decision/responsematch/responsematch_test.go
@@ -37,7 +37,7 @@
 	} {
 		var c responsematch.Connection
 		for i, s := range steps {
-			if got := c.Accept(s.request, s.response); got != s.want {
+			if got := c.Begin().Accept(s.request, s.response); got != s.want {
 				t.Errorf("%s, response %d: accepted %t", name, i+1, got)
 			}
 		}
@@ -50,7 +50,7 @@
 	var c responsematch.Connection
 	id := func(i int) model.RequestID { return model.RequestID(fmt.Sprint(i)) }
 	refuse := func(i int) bool {
-		return c.Accept(id(i), responsematch.Response{ID: id(i), NotRun: true})
+		return c.Begin().Accept(id(i), responsematch.Response{ID: id(i), NotRun: true})
 	}
 	for i := range 1000 {
 		if !refuse(i) {
@@ -61,3 +61,17 @@
 		t.Error("the last refusal is forgotten, or the first one remembered")
 	}
 }
+
+// TestEarlyRequestMakesConnectionUsed guards against a request that is sent before the
+// response to the previous one has been judged: a copy of that response is not believed.
+func TestEarlyRequestMakesConnectionUsed(t *testing.T) {
+	var c responsematch.Connection
+	first, second := c.Begin(), c.Begin()
+	refusal := responsematch.Response{WithoutID: true, NotRun: true}
+	if second.Accept("b", refusal) {
+		t.Error("the refusal on the used connection was accepted")
+	}
+	if !first.Accept("a", refusal) {
+		t.Error("the first refusal on the connection was not accepted")
+	}
+}
--- a/internal/service/backend/connection.go
+++ b/internal/service/backend/connection.go
@@ -105,8 +105,7 @@
 // carries. The guard is nil before the first request.
 type trackedConn struct {
 	net.Conn
-	guard atomic.Pointer[writeGuard]
-	// carried is used by one request at a time, that which the connection carries.
+	guard   atomic.Pointer[writeGuard]
 	carried responsematch.Connection
 	// writing is held during a write. resetInWrite is true if a write failed because
 	// the server reset the connection.
--- a/internal/service/backend/do.go
+++ b/internal/service/backend/do.go
@@ -44,13 +44,15 @@
 // before; if not, the connection is closed. Errors are of type *Error. The URL of r must
 // contain only path and query.
 func (s *Service) Do(
-	r *http.Request, notAfter time.Time, idempotent bool, accept func(*responsematch.Connection, *http.Response) bool,
+	r *http.Request, notAfter time.Time, idempotent bool, accept func(responsematch.Exchange, *http.Response) bool,
 ) (*http.Response, error) {
 	guard := &writeGuard{expired: func() bool { return !s.clock.Now().Before(notAfter) }}
 	var connection *trackedConn
+	var exchange responsematch.Exchange
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connection = info.Conn.(*trackedConn) // the transports dial no other
 		connection.guard.Store(guard)
+		exchange = connection.carried.Begin()
 	}}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	r.URL.Scheme, r.URL.Host = s.base.Scheme, s.base.Host
@@ -60,7 +62,7 @@
 	}
 	response, err := transport.RoundTrip(r)
 	if err == nil {
-		if accept(&connection.carried, response) {
+		if accept(exchange, response) {
 			return response, nil
 		}
 		// What follows on the connection belongs to no known request.
--- a/internal/service/gate/dependencies.go
+++ b/internal/service/gate/dependencies.go
@@ -26,7 +26,7 @@
 	Available() bool
 	State() *kernel.Snapshot[health.State]
 	Do(
-		r *http.Request, notAfter time.Time, idempotent bool, accept func(*responsematch.Connection, *http.Response) bool,
+		r *http.Request, notAfter time.Time, idempotent bool, accept func(responsematch.Exchange, *http.Response) bool,
 	) (*http.Response, error)
 	Crashed(ctx context.Context) bool
 }
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -38,8 +38,8 @@
 	s.headers.ToServer(out.Header, frontend.ServerRequest{
 		TimeLeft: c.deadline.Sub(s.clock.Now()), Target: target, Origin: c.Origin,
 	})
-	response, err := s.deps.server.Do(out, c.deadline, c.Idempotent, func(connection *responsematch.Connection, r *http.Response) bool {
-		return connection.Accept(c.ID, s.matchOf(r))
+	response, err := s.deps.server.Do(out, c.deadline, c.Idempotent, func(exchange responsematch.Exchange, r *http.Response) bool {
+		return exchange.Accept(c.ID, s.matchOf(r))
 	})
 	if err != nil {
 		s.handleError(ctx, c, err)
