ingress: show that a response cut anywhere never looks whole

Another operator reported servers that stop in the middle of their response's head and close, and clients that got a 200 with an empty or short body, framed as whole. That cannot happen here: net/http accepts a head only with its blank line, and a body that ends early aborts the connection at the gate and at the caller's node.

The tests cut a response at each byte (short ones) and around the buffer sizes of net/http (up to 70 KB), for 14 framings and bare newlines; the connection then ends, is reset or stays silent until the deadline. A request without repeats runs once and is never answered as not run.

--- /dev/null
+++ b/internal/service/ingress/cut_response_test.go
@@ -0,0 +1,184 @@
+package ingress_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/galenalever/galenalever/internal/hop"
+	"github.com/galenalever/galenalever/internal/model"
+)
+
+// cutResponse is a response that a server begins with some of its bytes.
+type cutResponse struct {
+	framing framing
+	// cut is the number of bytes that are sent, end what happens then: "fin", "reset" or
+	// "silent".
+	cut  int
+	end  string
+	read bool // whether the route allows repeats
+	size int  // of the body
+}
+
+// path is the path of the only request that gets the response.
+func (c cutResponse) path() string {
+	kind := "/write"
+	if c.read {
+		kind = "/read"
+	}
+	if c.end == "silent" {
+		kind = "/silent" + kind
+	}
+	return fmt.Sprintf("%s/%s/%s/%d/%d", kind, strings.ReplaceAll(c.framing.name, " ", "-"), c.end, c.size, c.cut)
+}
+
+func (c cutResponse) method() string {
+	if c.framing.method != "" {
+		return c.framing.method
+	}
+	return "POST"
+}
+
+func (c cutResponse) body(arrival int) string {
+	if c.framing.name == "HEAD" || c.framing.name == "no content" {
+		return ""
+	}
+	text := fmt.Sprintf("%d of %s ", arrival, c.path())
+	return strings.Repeat(text, c.size/len(text)+1)[:c.size]
+}
+
+// whole returns the bytes of the whole response.
+func (c cutResponse) whole(extra string, arrival int) string {
+	body := c.body(arrival)
+	return c.framing.write(extra, sealOf(body), body)
+}
+
+// headLength returns the length of the final head.
+func (c cutResponse) headLength() int {
+	text := c.whole("", 1)
+	return strings.Index(text[strings.Index(text, "X-Seal"):], "\r\n\r\n") + strings.Index(text, "X-Seal") + len("\r\n\r\n")
+}
+
+// cutServer answers the first request for each path with its cutResponse and any other one
+// with the whole response.
+type cutServer struct {
+	mu       sync.Mutex
+	cases    map[string]cutResponse
+	arrivals map[string]int
+}
+
+func newCutServer(cases []cutResponse) *cutServer {
+	s := &cutServer{cases: make(map[string]cutResponse), arrivals: make(map[string]int)}
+	for _, c := range cases {
+		s.cases[c.path()] = c
+	}
+	return s
+}
+
+func (s *cutServer) arrive(path string) (cutResponse, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals[path]++
+	return s.cases[path], s.arrivals[path]
+}
+
+func (s *cutServer) arrived(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivals[path]
+}
+
+func (s *cutServer) handle(conn *net.TCPConn, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		_ = conn.Close()
+		return
+	}
+	extra := ""
+	if request, ok := hop.DecodeRequest(r.Header); ok { // the server stands in for a gate
+		h := make(http.Header)
+		hop.Response{ID: request.ID, Outcome: model.OutcomeAnswered, Incarnation: request.Incarnation}.Encode(h)
+		extra = hop.HeaderResponse + ": " + h.Get(hop.HeaderResponse) + "\r\n"
+	}
+	c, arrival := s.arrive(r.URL.Path)
+	text := c.whole(extra, arrival)
+	if arrival > 1 {
+		_, _ = io.WriteString(conn, text)
+		if c.framing.stream {
+			_ = conn.Close()
+		}
+		return
+	}
+	// Bytes of the extra header are cut too, but counted as one.
+	if c.cut > len(c.whole("", arrival))-c.size {
+		c.cut += len(extra)
+	}
+	_, _ = io.WriteString(conn, text[:min(c.cut, len(text))])
+	switch c.end {
+	case "fin":
+		_ = conn.CloseWrite()
+	case "reset":
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	}
+	_, _ = conn.Read(make([]byte, 1)) // until the other side closes
+	_ = conn.Close()
+}
+
+// positions returns the cuts of a response: each byte of a short one, and around the sizes
+// of the buffers of net/http of a long one.
+func (c cutResponse) positions() []int {
+	length, head := len(c.whole("", 1)), c.headLength()
+	var cuts []int
+	for cut := range length + 1 {
+		near := cut == head || cut == length || cut == length-1
+		for _, size := range []int{1, 2 << 10, 4 << 10, 32 << 10, 64 << 10} {
+			near = near || cut == head+size || cut == size
+		}
+		if near || length < 512 {
+			cuts = append(cuts, cut)
+		}
+	}
+	return cuts
+}
+
+// runCuts sends the request for each case to the caller's node, several at a time, each on
+// a connection that is kept while its responses are whole.
+func runCuts(t *testing.T, m *mesh, cases []cutResponse, check func(cutResponse, rawResponse)) {
+	const callers = 48
+	queue := make(chan cutResponse)
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
+			var conn net.Conn
+			for c := range queue {
+				if conn == nil {
+					var err error
+					if conn, err = net.Dial("tcp", strings.TrimPrefix(m.url, "http://")); err != nil {
+						t.Error(err)
+						continue
+					}
+				}
+				_, _ = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", c.method(), c.path())
+				r := readRaw(conn, c.method())
+				if !r.whole || r.header["connection"] == "close" {
+					_ = conn.Close()
+					conn = nil
+				}
+				check(c, r)
+			}
+			if conn != nil {
+				_ = conn.Close()
+			}
+		})
+	}
+	for _, c := range cases {
+		queue <- c
+	}
+	close(queue)
+	running.Wait()
+}
