gate: a response whose length was not read is not complete

What callers would see: a server writes "Content-Length : 1234" or "Transfer-Encoding : chunked", with a space before the colon. A response that breaks off comes as a whole 200 with a short body, one in chunks with the chunk sizes in its body.

Cause: net/http keeps such a header under a name with the space and does not read it, so the response has no length and ends with its connection.

Ruled out: two lengths, empty, signed and listed ones, and other codings are errors in net/http; length and chunks together are read as chunks.

Change: responsematch rejects a response with such a header: its outcome is unknown and its connection is closed. Other names with a space are no reason.

--- a/internal/decision/responsematch/responsematch_test.go
+++ b/internal/decision/responsematch/responsematch_test.go
@@ -31,6 +31,8 @@
 		"result without an ID":                 {{"a", answer(""), false}},
 		"protocol without IDs":                 {{"a", responsematch.Response{WithoutID: true}, true}, {"b", responsematch.Response{WithoutID: true}, true}},
 		"switch of protocols":                  {{"a", responsematch.Response{ID: "a", SwitchesProtocol: true}, false}},
+		"unclear length":                       {{"a", responsematch.Response{ID: "a", UnclearLength: true}, false}},
+		"unclear length without IDs":           {{"a", responsematch.Response{WithoutID: true, UnclearLength: true}, false}},
 		"head of two responses":                {{"a", responsematch.Response{ID: "a", Spliced: true}, false}},
 		"head without a header of its kind":    {{"a", responsematch.Response{ID: "a", Incomplete: true}, false}, {"b", answer("b"), true}},
 		"refusal without an ID, spliced":       {{"a", responsematch.Response{WithoutID: true, NotRun: true, Spliced: true}, false}},
--- a/internal/service/gate/match.go
+++ b/internal/service/gate/match.go
@@ -13,10 +13,27 @@
 	return responsematch.Response{
 		ID: result.ID, WithoutID: result.WithoutID, NotRun: result.NotRun,
 		SwitchesProtocol: r.StatusCode == http.StatusSwitchingProtocols,
+		UnclearLength:    hasUnclearLength(r),
 		Spliced:          isSpliced(r), Incomplete: result.Incomplete,
 	}
 }
 
+// hasUnclearLength reports whether a response has a space after the name of a header that
+// gives its length. net/http does not read such a header, and would take any end of the
+// connection for the end of the body.
+func hasUnclearLength(r *http.Response) bool {
+	for name := range r.Header {
+		if !strings.HasSuffix(name, " ") {
+			continue
+		}
+		switch http.CanonicalHeaderKey(strings.TrimRight(name, " ")) {
+		case "Content-Length", "Transfer-Encoding":
+			return true
+		}
+	}
+	return false
+}
+
 // isSpliced reports whether the head of a response contains a second status line. A server
 // that breaks off in a line of one head and then writes another response to the connection
 // makes that line end with the status line of the other response.
