--- a/internal/decision/responsematch/responsematch_test.go
+++ b/internal/decision/responsematch/responsematch_test.go
@@ -31,10 +31,15 @@
 		"result without an ID":                 {{"a", answer(""), false}},
 		"protocol without IDs":                 {{"a", responsematch.Response{WithoutID: true}, true}, {"b", responsematch.Response{WithoutID: true}, true}},
 		"switch of protocols":                  {{"a", responsematch.Response{ID: "a", SwitchesProtocol: true}, false}},
+		"unclear length":                       {{"a", responsematch.Response{ID: "a", UnclearLength: true}, false}},
+		"unclear length without IDs":           {{"a", responsematch.Response{WithoutID: true, UnclearLength: true}, false}},
+		"head of two responses":                {{"a", responsematch.Response{ID: "a", Spliced: true}, false}},
+		"head without a header of its kind":    {{"a", responsematch.Response{ID: "a", Incomplete: true}, false}, {"b", answer("b"), true}},
+		"refusal without an ID, spliced":       {{"a", responsematch.Response{WithoutID: true, NotRun: true, Spliced: true}, false}},
 	} {
 		var c responsematch.Connection
 		for i, s := range steps {
-			if got := c.Accept(s.request, s.response); got != s.want {
+			if got := c.Begin().Accept(s.request, s.response); got != s.want {
 				t.Errorf("%s, response %d: accepted %t", name, i+1, got)
 			}
 		}
@@ -47,7 +52,7 @@
 	var c responsematch.Connection
 	id := func(i int) model.RequestID { return model.RequestID(fmt.Sprint(i)) }
 	refuse := func(i int) bool {
-		return c.Accept(id(i), responsematch.Response{ID: id(i), NotRun: true})
+		return c.Begin().Accept(id(i), responsematch.Response{ID: id(i), NotRun: true})
 	}
 	for i := range 1000 {
 		if !refuse(i) {
@@ -58,3 +63,17 @@
 		t.Error("the last refusal is forgotten, or the first one remembered")
 	}
 }
+
+// TestEarlyRequestMakesConnectionUsed guards against a request that is sent before the
+// response to the previous one has been judged: a copy of that response is not believed.
+func TestEarlyRequestMakesConnectionUsed(t *testing.T) {
+	var c responsematch.Connection
+	first, second := c.Begin(), c.Begin()
+	refusal := responsematch.Response{WithoutID: true, NotRun: true}
+	if second.Accept("b", refusal) {
+		t.Error("the refusal on the used connection was accepted")
+	}
+	if !first.Accept("a", refusal) {
+		t.Error("the first refusal on the connection was not accepted")
+	}
+}
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -16,7 +16,8 @@
 type exchangeError interface {
 	// MayHaveRun reports whether any byte of the request was written.
 	MayHaveRun() bool
-	// ForeignResponse reports whether the response belongs to another request.
+	// ForeignResponse reports whether the response was not accepted as the one to the
+	// request.
 	ForeignResponse() bool
 }
 
@@ -37,8 +38,8 @@
 	s.headers.ToServer(out.Header, frontend.ServerRequest{
 		TimeLeft: c.deadline.Sub(s.clock.Now()), Target: target, Origin: c.Origin,
 	})
-	response, err := s.deps.server.Do(out, c.deadline, c.Idempotent, func(connection *responsematch.Connection, r *http.Response) bool {
-		return connection.Accept(c.ID, s.matchOf(r))
+	response, err := s.deps.server.Do(out, c.deadline, c.Idempotent, func(exchange responsematch.Exchange, r *http.Response) bool {
+		return exchange.Accept(c.ID, s.matchOf(r))
 	})
 	if err != nil {
 		s.handleError(ctx, c, err)
@@ -61,15 +62,6 @@
 	}
 }
 
-// matchOf returns what a response of the server says about its request.
-func (s *Service) matchOf(r *http.Response) responsematch.Response {
-	result := s.headers.FromServer(r.StatusCode, r.Header)
-	return responsematch.Response{
-		ID: result.ID, WithoutID: result.WithoutID, NotRun: result.NotRun,
-		SwitchesProtocol: r.StatusCode == http.StatusSwitchingProtocols,
-	}
-}
-
 // handleResponse relays the server's response to the call, or its refusal.
 func (s *Service) handleResponse(ctx context.Context, c *call, response *http.Response, target model.InstanceID) {
 	result := s.headers.FromServer(response.StatusCode, response.Header)
