review: an unfinished body fails a planned stop

A caller that has sent the header of a request before SIGTERM and not its whole body by the end of the plan gets no response, and the stop ends with an error: reading the body is not bounded by the end of the drain.

--- a/internal/service/ingress/planned_stop_review_test.go
+++ b/internal/service/ingress/planned_stop_review_test.go
@@ -166,3 +166,33 @@
 		t.Errorf("requests of the route take 1 s, 500 ms were left: status %d, gate: %v", response.StatusCode, ran)
 	}
 }
+
+// TestUnfinishedBodyDelaysPlannedStop guards against a stop that fails because a caller
+// has sent the header of a request before it and never the whole body.
+func TestUnfinishedBodyDelaysPlannedStop(t *testing.T) {
+	const timeout = 3 * time.Second
+	m := newMesh(t)
+	m.startWithGate()
+	conn := m.dial()
+	if _, err := io.WriteString(conn, "POST /book HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // the node reads the header meanwhile
+	begin := time.Now()
+	plan := m.startDrain(0, timeout)
+	left := plan.End.Sub(m.clock.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	m.stopped = make(chan error, 1)
+	go func() { m.stopped <- m.kernel.Stop(ctx) }()
+	time.Sleep(time.Until(begin.Add(left)))
+	m.fakeClock.Advance(left)
+	if response, err := http.ReadResponse(conn.reader, nil); err != nil {
+		t.Errorf("request whose body has not arrived by the end of the plan: %v", err)
+	} else {
+		_ = response.Body.Close()
+	}
+	if err := <-m.stopped; err != nil {
+		t.Error(err)
+	}
+}
