drain: compare the time that is left with a request's own timeout, in one plan

What callers saw (review, real processes): 502 or 504 for requests whose header came 2.2 to 2.6 s after SIGTERM and whose last byte came 4.1 to 4.4 s after it, their server at work for 0.7 to 1 s.

Cause: the comparison after the body used the deadline that the first comparison had limited to the end of the drain, so it always passed. A body that is streamed was compared before its last byte. Two more faults of the same plan: ingress and the daemon had reserves of their own, so a drain under 2 s cut requests before the plan ended them; and without a lead the calls of running work were refused as soon as their timeout did not fit. A body that never came whole held up the stop.

Change: checkTimeLeft decides with the request's own deadline and limitToDrain limits it afterwards; streamed bodies count by their deadline alone; the plan holds all three times of a drain; estimates count for at least half of it; reading a body ends with the drain. The soak counts a request as sent with its last byte.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -177,10 +177,6 @@
 	}
 }
 
-// stopReserve is the part of DrainTimeout that is reserved for stopping the services
-// once all requests have ended.
-const stopReserve = 400 * time.Millisecond
-
 // drainAndStop announces that the instance leaves, still accepts callers for DrainLead
 // while they are redirected to other nodes, then waits for running requests and
 // stops the services. All of this must end within DrainTimeout.
@@ -188,14 +184,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.DrainTimeout)
 	defer cancel()
 	log.Info("draining", "at_most", d.DrainTimeout)
-	plan := drain.NewPlan(time.Now(), d.DrainLead, d.DrainTimeout, stopReserve)
+	plan := drain.NewPlan(time.Now(), d.DrainLead, d.DrainTimeout)
 	messages := []kernel.Message{control.DrainStarted{Plan: plan}, control.PresenceChanged{Presence: model.PresenceLeaving}}
 	for _, message := range messages {
 		if err := k.Loop().Post(ctx, message); err != nil {
 			return err
 		}
 	}
-	if err := clock.Wait(ctx, clock.System{}, d.DrainLead); err != nil {
+	if err := clock.Wait(ctx, clock.System{}, min(d.DrainLead, time.Until(plan.End))); err != nil {
 		return err
 	}
 	err := k.Stop(ctx)
--- a/internal/decision/drain/drain.go
+++ b/internal/decision/drain/drain.go
@@ -6,35 +6,50 @@
 
 // Plan is the schedule of a node that shuts down.
 type Plan struct {
-	// LeadEnd is when callers have learned that the node leaves.
-	LeadEnd time.Time
+	// EstimateEnd is the time until which the usual time of a request decides whether it
+	// is accepted, because callers have not learned yet that the node leaves.
+	EstimateEnd time.Time
 	// End is when every accepted request must have ended.
 	End time.Time
+	// CloseBy is when the connections of callers must be closed.
+	CloseBy time.Time
 }
 
+const (
+	// maxReserve and reserveDivisor limit the part of a drain that is left for the exit
+	// of the process. One half of it is for the connections of callers, the other one
+	// for the services that stop after them.
+	maxReserve     = 400 * time.Millisecond
+	reserveDivisor = 10
+)
+
 // NewPlan returns the plan of a drain that begins at now and may take the given time in
-// all. The reserve, at most a tenth of it, is left for the exit of the process.
-func NewPlan(now time.Time, lead, timeout, reserve time.Duration) Plan {
-	const reserveDivisor = 10
-	return Plan{LeadEnd: now.Add(lead), End: now.Add(timeout - min(reserve, timeout/reserveDivisor))}
+// all. Callers learn within the lead that the node leaves. Estimates count for half of
+// the drain at least, since the work that runs on the node's server makes calls.
+func NewPlan(now time.Time, lead, timeout time.Duration) Plan {
+	reserve := min(maxReserve, timeout/reserveDivisor)
+	return Plan{
+		EstimateEnd: now.Add(max(lead, timeout/2)),
+		End:         now.Add(timeout - reserve),
+		CloseBy:     now.Add(timeout - reserve/2),
+	}
 }
 
-// Accepts reports whether a request that arrives at now ends before the node does. That
-// is certain if its timeout ends in time. Until LeadEnd, while callers cannot know
-// better, it is enough that the longest recent request of its kind took less; longest is
-// 0 if there was none.
-func (p Plan) Accepts(now time.Time, timeout, longest time.Duration) bool {
-	left := p.End.Sub(now)
-	if timeout <= left {
-		return true
-	}
-	return longest > 0 && longest <= left && now.Before(p.LeadEnd)
+// Fits reports whether a request with the given deadline ends before the node does.
+func (p Plan) Fits(deadline time.Time) bool { return !deadline.After(p.End) }
+
+// Accepts reports whether a request that arrives at now, with the given deadline, ends
+// before the node does, as far as the node can tell. Until EstimateEnd it is enough that
+// the longest recent request of its kind took less time than is left; longest is 0 if
+// there was none.
+func (p Plan) Accepts(now, deadline time.Time, longest time.Duration) bool {
+	return p.Fits(deadline) || longest > 0 && longest <= p.End.Sub(now) && now.Before(p.EstimateEnd)
 }
 
 // Limit returns the deadline, or End if that is earlier.
 func (p Plan) Limit(deadline time.Time) time.Time {
-	if deadline.After(p.End) {
-		return p.End
+	if p.Fits(deadline) {
+		return deadline
 	}
-	return deadline
+	return p.End
 }
--- a/internal/decision/drain/drain_test.go
+++ b/internal/decision/drain/drain_test.go
@@ -12,7 +12,7 @@
 // TestAccepts checks that a leaving node accepts a request only if it ends in time.
 func TestAccepts(t *testing.T) {
 	begin := time.Unix(1_700_000_000, 0)
-	plan := drain.NewPlan(begin, 2800*ms, 5500*ms, 400*ms) // ends after 5.1 s
+	plan := drain.NewPlan(begin, 2800*ms, 5500*ms) // ends after 5.1 s
 	tests := map[string]struct {
 		at, timeout, longest time.Duration
 		want                 bool
@@ -28,7 +28,7 @@
 		"unknown requests at once, short": {at: 0, timeout: 5000 * ms, want: true},
 	}
 	for name, test := range tests {
-		if got := plan.Accepts(begin.Add(test.at), test.timeout, test.longest); got != test.want {
+		if got := plan.Accepts(begin.Add(test.at), begin.Add(test.at+test.timeout), test.longest); got != test.want {
 			t.Errorf("%s: got %t, want %t", name, got, test.want)
 		}
 	}
@@ -38,7 +38,7 @@
 // that a short drain keeps most of its time.
 func TestLimit(t *testing.T) {
 	begin := time.Unix(1_700_000_000, 0)
-	plan := drain.NewPlan(begin, 0, 100*ms, 400*ms)
+	plan := drain.NewPlan(begin, 0, 100*ms)
 	for deadline, want := range map[time.Duration]time.Duration{50 * ms: 50 * ms, 5000 * ms: 90 * ms} {
 		if got := plan.Limit(begin.Add(deadline)).Sub(begin); got != want {
 			t.Errorf("deadline %s: got %s, want %s", deadline, got, want)
@@ -46,6 +46,21 @@
 	}
 }
 
+// TestPlanOfShortDrain checks that the steps of a drain keep their order, however short it
+// is, and that work which still runs may make calls for half of it.
+func TestPlanOfShortDrain(t *testing.T) {
+	begin := time.Unix(1_700_000_000, 0)
+	for _, timeout := range []time.Duration{100 * ms, 1000 * ms, 30_000 * ms} {
+		plan := drain.NewPlan(begin, 0, timeout)
+		if !plan.EstimateEnd.Before(plan.End) || !plan.End.Before(plan.CloseBy) || !plan.CloseBy.Before(begin.Add(timeout)) {
+			t.Errorf("drain of %s: %+v", timeout, plan)
+		}
+		if !plan.Accepts(begin.Add(timeout/2-1), begin.Add(2*timeout), timeout/3) {
+			t.Errorf("drain of %s: a call that takes a third of it is refused in its first half", timeout)
+		}
+	}
+}
+
 // TestLongest checks that a duration counts for at least one window and at most two.
 func TestLongest(t *testing.T) {
 	const s = time.Second
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -142,7 +142,7 @@
 		must(n.kernel.Loop().Post(t.Context(), control.PresenceChanged{Presence: model.PresenceLeaving}))
 		waitFor(func() bool { return n.gate.Ready() != nil })
 	case "drain": // begins a shutdown that ends after "by"
-		plan := drain.NewPlan(s.clock.Now(), after, after, 0)
+		plan := drain.Plan{End: s.clock.Now().Add(after)}
 		must(n.kernel.Loop().Post(t.Context(), control.DrainStarted{Plan: plan}))
 		must(n.kernel.Loop().Post(t.Context(), control.PresenceChanged{Presence: model.PresenceLeaving}))
 		waitFor(func() bool { return n.gate.Ready() != nil })
--- a/internal/service/ingress/deadline.go
+++ b/internal/service/ingress/deadline.go
@@ -30,18 +30,29 @@
 	return now.Add(timeout)
 }
 
-// fitToDrain returns the deadline of a request that arrives while the node leaves,
-// which is no later than the end of the node, or the refusal of a request that would
-// outlast the node.
-func (s *Service) fitToDrain(rt *model.Route, now, deadline time.Time) (time.Time, *refusal) {
+// checkTimeLeft refuses a request that would outlast a node that leaves. The end of a
+// body that is streamed cannot be foreseen, so only the deadline of its request counts.
+func (s *Service) checkTimeLeft(rt *model.Route, deadline time.Time, streamed bool) *refusal {
 	plan := s.drainPlan.Load()
 	if plan == nil {
-		return deadline, nil
+		return nil
 	}
-	if !plan.Accepts(now, deadline.Sub(now), s.longestServed.value(rt, now.Sub(s.start))) {
-		return deadline, notRun(http.StatusServiceUnavailable, model.ReasonLeaving)
+	now, longest := s.clock.Now(), time.Duration(0)
+	if !streamed {
+		longest = s.longestServed.value(rt, now.Sub(s.start))
 	}
-	return plan.Limit(deadline), nil
+	if plan.Accepts(now, deadline, longest) {
+		return nil
+	}
+	return notRun(http.StatusServiceUnavailable, model.ReasonLeaving)
+}
+
+// limitToDrain returns the deadline, or the end of the drain if that is earlier.
+func (s *Service) limitToDrain(deadline time.Time) time.Time {
+	if plan := s.drainPlan.Load(); plan != nil {
+		return plan.Limit(deadline)
+	}
+	return deadline
 }
 
 // longestServed holds the longest recent time in which a request was answered, by route.
--- a/internal/service/ingress/drain.go
+++ b/internal/service/ingress/drain.go
@@ -5,19 +5,17 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-)
 
-// stopReserve is the part of the time allowed for Stop that is left to the services that
-// stop after this one.
-const stopReserve = 200 * time.Millisecond
+	"github.com/galenalever/galenalever/internal/clock"
+)
 
 // Stop implements kernel.Stopper. It waits until this node's server has drained, closes
 // the listener and waits for the requests in flight. Until these have ended, requests on
 // open connections are refused; then the connections are closed.
 func (s *Service) Stop(ctx context.Context) error {
-	if deadline, ok := ctx.Deadline(); ok {
+	if plan := s.drainPlan.Load(); plan != nil { // the rest of the time is for the other services
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-stopReserve))
+		ctx, cancel = clock.WithTimeout(ctx, s.clock, plan.CloseBy.Sub(s.clock.Now()))
 		defer cancel()
 	}
 	s.awaitServerDrained(ctx)
--- a/internal/service/ingress/planned_stop_review_test.go
+++ b/internal/service/ingress/drain_time_test.go
@@ -16,7 +16,7 @@
 
 // startDrain begins the drain of a node that may take the given time in all.
 func (m *mesh) startDrain(lead, timeout time.Duration) drain.Plan {
-	plan := drain.NewPlan(m.clock.Now(), lead, timeout, 400*time.Millisecond)
+	plan := drain.NewPlan(m.clock.Now(), lead, timeout)
 	m.post(control.DrainStarted{Plan: plan})
 	m.post(control.PresenceChanged{Presence: model.PresenceLeaving})
 	return plan
@@ -81,9 +81,7 @@
 	m := newMesh(t)
 	m.gate.drained = make(chan struct{}) // the server is at work
 	m.startWithGate()
-	if response, err := m.dial().roundTrip("/book"); err != nil || response.StatusCode != http.StatusOK {
-		t.Fatalf("before the drain: %v, %v", response, err)
-	}
+	m.serveOnce(100 * time.Millisecond)
 	m.startDrain(0, timeout)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -91,7 +89,7 @@
 	go func() { m.stopped <- m.kernel.Stop(ctx) }()
 	response, err := m.dial().roundTrip("/book")
 	if err != nil || response.StatusCode != http.StatusOK {
-		t.Errorf("call of running work at the begin of a drain of %s: %v, %v", timeout, response.Status, err)
+		t.Errorf("call of running work at the begin of a drain of %s: %+v, %v", timeout, response, err)
 	}
 	close(m.gate.drained)
 	if err := <-m.stopped; err != nil {
@@ -167,6 +165,28 @@
 	}
 }
 
+// TestLateRequestIsRefusedBeforeItsBody guards against a refusal that waits for the body of
+// a request which the node cannot finish anyway.
+func TestLateRequestIsRefusedBeforeItsBody(t *testing.T) {
+	m := newMesh(t)
+	m.startWithGate()
+	m.startDrain(2800*time.Millisecond, 5500*time.Millisecond)
+	m.fakeClock.Advance(3 * time.Second)
+	conn := m.dial()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second)) // less than the node waits for a body
+	if _, err := io.WriteString(conn, "POST /book HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(conn.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status %d", response.StatusCode)
+	}
+}
+
 // TestUnfinishedBodyDelaysPlannedStop guards against a stop that fails because a caller
 // has sent the header of a request before it and never the whole body.
 func TestUnfinishedBodyDelaysPlannedStop(t *testing.T) {
--- a/internal/service/ingress/open_connections_test.go
+++ b/internal/service/ingress/open_connections_test.go
@@ -73,7 +73,7 @@
 	}
 	time.Sleep(50 * time.Millisecond) // the node reads the header meanwhile
 	now := m.clock.Now()
-	m.post(control.DrainStarted{Plan: drain.Plan{LeadEnd: now.Add(2800 * time.Millisecond), End: now.Add(5100 * time.Millisecond)}})
+	m.post(control.DrainStarted{Plan: drain.NewPlan(now, 2800*time.Millisecond, 5500*time.Millisecond)})
 	m.post(control.PresenceChanged{Presence: model.PresenceLeaving})
 	m.fakeClock.Advance(3500 * time.Millisecond)
 	if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
--- a/internal/service/ingress/scenario_test.go
+++ b/internal/service/ingress/scenario_test.go
@@ -154,7 +154,8 @@
 func (m *mesh) cmdLeave(d *datadriven.TestData) string {
 	now := m.clock.Now()
 	m.post(control.DrainStarted{Plan: drain.Plan{
-		LeadEnd: now.Add(durationArg(m, d, "lead", "0s")), End: now.Add(durationArg(m, d, "end", "0s")),
+		EstimateEnd: now.Add(durationArg(m, d, "lead", "0s")), End: now.Add(durationArg(m, d, "end", "0s")),
+		CloseBy: now.Add(durationArg(m, d, "end", "0s") + time.Second),
 	}})
 	m.post(control.PresenceChanged{Presence: model.PresenceLeaving})
 	return ""
--- a/internal/service/ingress/serve.go
+++ b/internal/service/ingress/serve.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -36,8 +37,8 @@
 		return
 	}
 	s.inFlight.setRoute(number, match.Route.Name)
-	deadline, refused := s.fitToDrain(match.Route, begin, deadlineOf(caller, match.Route, begin))
-	if refused != nil {
+	deadline := deadlineOf(caller, match.Route, begin)
+	if refused := s.checkTimeLeft(match.Route, deadline, false); refused != nil {
 		s.refuse(w, entry, *refused)
 		return
 	}
@@ -46,12 +47,13 @@
 	setWriteDeadline(w, deadline.Sub(begin))
 	body, refused := s.readBody(w, r, match.Route, deadline)
 	if refused == nil { // the drain may have begun, or its time run out, since the header came
-		deadline, refused = s.fitToDrain(match.Route, s.clock.Now(), deadline)
+		refused = s.checkTimeLeft(match.Route, deadline, body.Streamed())
 	}
 	if refused != nil {
 		s.refuse(w, entry, *refused)
 		return
 	}
+	deadline = s.limitToDrain(deadline)
 	request := newRequest(r, id, match, body, deadline)
 	urgency := s.urgency(caller, match.Route, begin, deadline)
 	request.SoftDeadline, request.FinalAttempt = begin.Add(urgency.SoftTimeout), urgency.FinalAttempt
@@ -182,10 +184,12 @@
 		if rt.MaxBody > 0 {
 			source = http.MaxBytesReader(w, r.Body, rt.MaxBody)
 		}
-		source = &deadlineReader{
-			Reader: source, conn: http.NewResponseController(w),
+		reader := &deadlineReader{
+			Reader: source, conn: http.NewResponseController(w), nodeEnded: s.ended,
 			deadline: time.Now().Add(deadline.Sub(s.clock.Now())),
 		}
+		defer context.AfterFunc(s.ended, reader.endRead)()
+		source = reader
 	}
 	body, err := call.ReadBody(source, r.ContentLength)
 	switch {
@@ -206,8 +210,13 @@
 	io.Reader
 	conn     *http.ResponseController
 	deadline time.Time
+	// nodeEnded ends when the node must have responded to all requests.
+	nodeEnded context.Context
 }
 
+// endRead makes the current read fail.
+func (t *deadlineReader) endRead() { _ = t.conn.SetReadDeadline(time.Now()) }
+
 // Read implements io.Reader.
 func (t *deadlineReader) Read(p []byte) (int, error) {
 	limit := time.Now().Add(bodyIdleTimeout)
@@ -215,6 +224,9 @@
 		limit = t.deadline
 	}
 	_ = t.conn.SetReadDeadline(limit)
+	if t.nodeEnded.Err() != nil {
+		t.endRead()
+	}
 	n, err := t.Reader.Read(p)
 	if errors.Is(err, io.EOF) {
 		_ = t.conn.SetReadDeadline(time.Time{})
--- a/internal/standin/chaos/lost.go
+++ b/internal/standin/chaos/lost.go
@@ -147,7 +147,11 @@
 // lastsIntoLastPart reports whether a request came soon after SIGTERM and its server was
 // at work in the last part of the grace time.
 func lastsIntoLastPart(send load.Send, stop mesh.Stop, runs []backend.Execution) bool {
-	if send.At.Sub(stop.Signalled) > finishWithin {
+	sent := send.At
+	if !send.Written.IsZero() {
+		sent = send.Written
+	}
+	if sent.Sub(stop.Signalled) > finishWithin {
 		return false
 	}
 	end := stop.Signalled.Add(stop.Grace)
