gate: a leaving gate serves its own node's callers

Cause: ingress limits a deadline to the end of the drain and the gate computes it again on arrival, a little later, so each limited call to the own gate was refused, and the refusal excluded the server for two seconds.

Change: the gate tolerates the transit time, 50 ms, and limits the deadline itself. Calls of other nodes that might outlast the node are still refused, as their nodes can choose another server; for a service with one server these are the callers of all other nodes.

--- a/internal/service/gate/drain.go
+++ b/internal/service/gate/drain.go
@@ -21,14 +21,22 @@
 	s.clock.AfterFunc(m.Plan.End.Sub(s.clock.Now()), s.endCalls)
 }
 
+// transitTolerance allows for the transit time of the calls of this node's own callers,
+// whose deadlines ingress has limited to the end of the drain.
+const transitTolerance = 50 * time.Millisecond
+
 // checkTimeLeft refuses a call that may outlast a node that leaves. How long calls usually
 // take does not matter, since the caller's node can choose another server.
 func (s *Service) checkTimeLeft(c *call) *refusal {
 	plan := s.drainPlan.Load()
-	if plan == nil || !c.deadline.After(plan.End) {
+	if plan == nil {
 		return nil
 	}
-	return notRun(model.ReasonLeaving)
+	if !plan.Fits(c.deadline.Add(-transitTolerance)) {
+		return notRun(model.ReasonLeaving)
+	}
+	c.deadline = plan.Limit(c.deadline)
+	return nil
 }
 
 // scheduleLeave makes the node not ready, and makes the gate refuse requests once
