--- a/internal/service/gate/drain.go
+++ b/internal/service/gate/drain.go
@@ -61,7 +61,7 @@
 	if s.leaving.Swap(true) {
 		return
 	}
-	s.leavingSince = s.clock.Now()
+	s.refusingSince = s.clock.Now()
 	s.deps.timeline.Record(timeline.KindDrainStarted, "")
 	s.deliver(s.admission.Leave())
 	s.signalIfIdle()
@@ -84,7 +84,7 @@
 	drained := s.awaitIdle(ctx)
 	s.log.Info("gate drained", "complete", drained, "active_calls", s.active(), "leaving_ms", s.sinceLeaving(s.clock.Now()).Milliseconds())
 	s.handOver(ctx)
-	s.wait(ctx, lameDuckPeriod-s.clock.Now().Sub(s.leavingSince))
+	s.wait(ctx, lameDuckPeriod-s.clock.Now().Sub(s.refusingSince))
 	if err := s.http.Shutdown(ctx); err != nil {
 		drained = false
 		_ = s.http.Close()
--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -111,10 +111,10 @@
 	knownMembers map[model.InstanceID]model.Incarnation // used only on the control loop
 
 	// activeCalls counts the running and queued requests. idle is closed when it
-	// reaches 0 while the gate is leaving; leavingSince is when leaving began.
-	activeCalls  int
-	idle         chan struct{}
-	leavingSince time.Time
+	// reaches 0 while the gate is leaving; refusingSince is when the gate began to refuse calls.
+	activeCalls   int
+	idle          chan struct{}
+	refusingSince time.Time
 }
 
 // New returns a gate that is not yet listening.
--- a/internal/service/ingress/service.go
+++ b/internal/service/ingress/service.go
@@ -104,9 +104,9 @@
 	leavingSince atomic.Pointer[time.Time]
 	// drainPlan is the schedule of the shutdown; nil before it begins.
 	drainPlan atomic.Pointer[drain.Plan]
-	// ended ends when all requests must have ended; end ends it.
-	ended context.Context
-	end   context.CancelFunc
+	// ended ends when all requests must have ended; endRequests ends it.
+	ended       context.Context
+	endRequests context.CancelFunc
 	// start is when the process began; longestServed counts from it.
 	start         time.Time
 	longestServed longestServed
@@ -123,12 +123,12 @@
 	if config.Headers == nil {
 		config.Headers = frontend.Native{}
 	}
-	ended, end := context.WithCancel(context.Background())
+	ended, endRequests := context.WithCancel(context.Background())
 	return &Service{
-		ended:    ended,
-		end:      end,
-		config:   config,
-		idPrefix: string(config.Self.ID) + "-" + strconv.FormatUint(uint64(config.Self.Incarnation), base) + "-",
+		ended:       ended,
+		endRequests: endRequests,
+		config:      config,
+		idPrefix:    string(config.Self.ID) + "-" + strconv.FormatUint(uint64(config.Self.Incarnation), base) + "-",
 	}
 }
 
@@ -186,7 +186,7 @@
 
 func (s *Service) handleDrainStarted(m control.DrainStarted) {
 	s.drainPlan.Store(&m.Plan)
-	s.clock.AfterFunc(m.Plan.End.Sub(s.clock.Now()), s.end)
+	s.clock.AfterFunc(m.Plan.End.Sub(s.clock.Now()), s.endRequests)
 }
 
 func (s *Service) handlePresenceChanged(m control.PresenceChanged) {
