drain: estimates end with the lead

What callers would see: with a grace time of 10 s, a request accepted 4.7 s after SIGTERM by the usual time of its route would be cut if it took longer than 4.4 s.

Cause: estimates counted for half of the drain also if there is a lead. Change: they do so only without one.

Result: TestEstimatesEndWithLead fails with the maximum of both and passes now.

--- a/internal/decision/drain/drain.go
+++ b/internal/decision/drain/drain.go
@@ -24,12 +24,15 @@
 )
 
 // NewPlan returns the plan of a drain that begins at now and may take the given time in
-// all. Callers learn within the lead that the node leaves. Estimates count for half of
-// the drain at least, since the work that runs on the node's server makes calls.
+// all. Callers learn within the lead that the node leaves. Without a lead, estimates count
+// for half of the drain, since the work that runs on the node's server makes calls.
 func NewPlan(now time.Time, lead, timeout time.Duration) Plan {
+	if lead <= 0 {
+		lead = timeout / 2
+	}
 	reserve := min(maxReserve, timeout/reserveDivisor)
 	return Plan{
-		EstimateEnd: now.Add(max(lead, timeout/2)),
+		EstimateEnd: now.Add(lead),
 		End:         now.Add(timeout - reserve),
 		CloseBy:     now.Add(timeout - reserve/2),
 	}
--- a/internal/decision/drain/drain_test.go
+++ b/internal/decision/drain/drain_test.go
@@ -46,6 +46,18 @@
 	}
 }
 
+// TestEstimatesEndWithLead guards against estimates in a long drain: a request that comes
+// after the lead and takes longer than estimated would be cut.
+func TestEstimatesEndWithLead(t *testing.T) {
+	begin := time.Unix(1_700_000_000, 0)
+	plan := drain.NewPlan(begin, 2800*ms, 9500*ms)
+	for after, want := range map[time.Duration]bool{2799 * ms: true, 2800 * ms: false} {
+		if got := plan.Accepts(begin.Add(after), begin.Add(20_000*ms), 100*ms); got != want {
+			t.Errorf("after %s: got %t, want %t", after, got, want)
+		}
+	}
+}
+
 // TestPlanOfShortDrain checks that the steps of a drain keep their order, however short it
 // is, and that work which still runs may make calls for half of it.
 func TestPlanOfShortDrain(t *testing.T) {
