--- a/internal/service/ingress/drain_time_test.go
+++ b/internal/service/ingress/drain_time_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -113,9 +112,7 @@
 	}
 	time.Sleep(100 * time.Millisecond) // the body is passed on meanwhile
 	m.fakeClock.Advance(2 * time.Second)
-	if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
+	conn.endBody()
 	status := make(chan int, 1)
 	go func() {
 		response, err := http.ReadResponse(conn.reader, nil)
@@ -146,22 +143,13 @@
 	plan := m.startDrain(2800*time.Millisecond, 5500*time.Millisecond)
 	m.fakeClock.Advance(2500 * time.Millisecond)
 	conn := m.dial()
-	if _, err := io.WriteString(conn, "POST /book HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(100 * time.Millisecond) // the node reads the header meanwhile
+	conn.beginBody()
 	m.fakeClock.Advance(plan.End.Sub(m.clock.Now()) - 500*time.Millisecond)
 	m.script.takeLedger()
-	if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
-	response, err := http.ReadResponse(conn.reader, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer response.Body.Close()
-	if ran := m.script.takeLedger(); response.StatusCode != http.StatusServiceUnavailable || len(ran) > 0 {
-		t.Errorf("requests of the route take 1 s, 500 ms were left: status %d, gate: %v", response.StatusCode, ran)
+	conn.endBody()
+	status := conn.status()
+	if ran := m.script.takeLedger(); status != http.StatusServiceUnavailable || len(ran) > 0 {
+		t.Errorf("requests of the route take 1 s, 500 ms were left: status %d, gate: %v", status, ran)
 	}
 }
 
@@ -174,16 +162,9 @@
 	m.fakeClock.Advance(3 * time.Second)
 	conn := m.dial()
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second)) // less than the node waits for a body
-	if _, err := io.WriteString(conn, "POST /book HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
-	response, err := http.ReadResponse(conn.reader, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusServiceUnavailable {
-		t.Errorf("status %d", response.StatusCode)
+	conn.send("POST /book HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\n")
+	if status := conn.status(); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d", status)
 	}
 }
 
@@ -194,10 +175,7 @@
 	m := newMesh(t)
 	m.startWithGate()
 	conn := m.dial()
-	if _, err := io.WriteString(conn, "POST /book HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(50 * time.Millisecond) // the node reads the header meanwhile
+	conn.beginBody()
 	begin := time.Now()
 	plan := m.startDrain(0, timeout)
 	left := plan.End.Sub(m.clock.Now())
--- a/internal/service/ingress/open_connections_test.go
+++ b/internal/service/ingress/open_connections_test.go
@@ -10,13 +10,12 @@
 	"testing"
 	"time"
 
-	"github.com/galenalever/galenalever/internal/control"
-	"github.com/galenalever/galenalever/internal/decision/drain"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
 // openConn is a caller's connection that is kept open.
 type openConn struct {
+	t testing.TB
 	net.Conn
 	reader *bufio.Reader
 }
@@ -27,22 +26,56 @@
 		m.t.Fatal(err)
 	}
 	m.t.Cleanup(func() { _ = conn.Close() })
-	return &openConn{Conn: conn, reader: bufio.NewReader(conn)}
+	return &openConn{t: m.t, Conn: conn, reader: bufio.NewReader(conn)}
 }
 
-// roundTrip sends a request and returns the status of its whole response.
-func (c *openConn) roundTrip(path string) (*http.Response, error) {
-	if _, err := io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"); err != nil {
-		return nil, err
+// send writes text to the connection.
+func (c *openConn) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Fatal(err)
 	}
+}
+
+// beginBody sends the header of a request and the first chunk of its body; endBody sends
+// the rest. The node reads the header meanwhile.
+func (c *openConn) beginBody() {
+	c.t.Helper()
+	c.send("POST /book HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")
+	time.Sleep(50 * time.Millisecond)
+}
+
+func (c *openConn) endBody() { c.send("0\r\n\r\n") }
+
+// receive reads a whole response and returns its head.
+func (c *openConn) receive() (*http.Response, error) {
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		return nil, err
 	}
+	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
 	return response, err
 }
 
+// status reads a whole response and returns its status.
+func (c *openConn) status() int {
+	c.t.Helper()
+	response, err := c.receive()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return response.StatusCode
+}
+
+// roundTrip sends a request and returns the head of its whole response.
+func (c *openConn) roundTrip(path string) (*http.Response, error) {
+	if _, err := io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"); err != nil {
+		return nil, err
+	}
+	return c.receive()
+}
+
 // startWithGate starts the node with a route to a service that has one gate.
 func (m *mesh) startWithGate() {
 	m.tree.Services["shop/booking"] = &model.Service{Name: "shop/booking", Slots: 6, Queue: 12}
@@ -68,24 +101,13 @@
 	m := newMesh(t)
 	m.startWithGate()
 	conn := m.dial()
-	if _, err := io.WriteString(conn, "POST /book HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(50 * time.Millisecond) // the node reads the header meanwhile
-	now := m.clock.Now()
-	m.post(control.DrainStarted{Plan: drain.NewPlan(now, 2800*time.Millisecond, 5500*time.Millisecond)})
-	m.post(control.PresenceChanged{Presence: model.PresenceLeaving})
+	conn.beginBody()
+	m.startDrain(2800*time.Millisecond, 5500*time.Millisecond)
 	m.fakeClock.Advance(3500 * time.Millisecond)
-	if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
-	response, err := http.ReadResponse(conn.reader, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer response.Body.Close()
-	if ran := m.script.takeLedger(); response.StatusCode != http.StatusServiceUnavailable || len(ran) > 0 {
-		t.Errorf("status %d, gate: %v", response.StatusCode, ran)
+	conn.endBody()
+	status := conn.status()
+	if ran := m.script.takeLedger(); status != http.StatusServiceUnavailable || len(ran) > 0 {
+		t.Errorf("status %d, gate: %v", status, ran)
 	}
 }
 
