route: a prefix matches only the paths that it begins

Cause: the index compared whole segments of the decoded path and skipped empty ones, so /orders, //orders/x and /orders%2Fx matched /orders/. Grants used a third rule, and documents refused the final slash.

Ruled out: a rewritten path (the server gets it unchanged) and a damaged index (TestLookup shows the fault on a new table).

Change: one rule. A prefix begins and ends with a slash and begins the path as the caller sent it, for routes, methods, grants, documents and config check. An accepted configuration is checked again, since nodes of an earlier release may send other prefixes.

--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -153,7 +153,7 @@
 		}
 		fmt.Fprintf(&routes, `  route-%d:
     hosts: [%s.example]
-    path: /service-%d
+    path: /service-%d/
     service: service-%d
     idempotent: true
     class: short
--- a/internal/bench/converge.go
+++ b/internal/bench/converge.go
@@ -169,7 +169,7 @@
 	for i := range largeSubtreeRoutes {
 		fmt.Fprintf(&b, `  filler-%d:
     hosts: [stock.example]
-    path: /filler/%d/%s
+    path: /filler/%d/%s/
     service: stock
     idempotent: true
     class: short
--- a/internal/bench/mesh.go
+++ b/internal/bench/mesh.go
@@ -19,8 +19,8 @@
 	// host is the callers' host name.
 	host = "stock.example"
 	// readPath and uploadPath are the two routes.
-	readPath   = "/read"
-	uploadPath = "/upload"
+	readPath   = "/read/"
+	uploadPath = "/upload/"
 	// convergeTimeout is the time limit for all nodes to run a published version.
 	convergeTimeout = 60 * time.Second
 	// pollInterval is the time between two polls of the nodes' status.
@@ -51,7 +51,7 @@
 routes:
   read:
     hosts: [stock.example]
-    path: /read
+    path: /read/
     service: stock
     idempotent: true
     class: short
@@ -63,7 +63,7 @@
 	}
 	fmt.Fprintf(&b, `  upload:
     hosts: [stock.example]
-    path: /upload
+    path: /upload/
     service: stock
     idempotent: false
     class: %s
--- a/internal/decision/accept/check.go
+++ b/internal/decision/accept/check.go
@@ -52,6 +52,7 @@
 	var out []violation
 	for i, route := range d.declarations.Routes {
 		out = append(out, x.checkService(key, route)...)
+		out = append(out, checkPath(key, route)...)
 		out = append(out, checkGrant(key, route, grant)...)
 		out = append(out, x.checkClaims(key, route, x.routes[key][i])...)
 	}
@@ -81,6 +82,14 @@
 	return out
 }
 
+// checkPath returns a violation if the path of the route is not a prefix.
+func checkPath(key model.Key, route *model.Route) []violation {
+	if err := model.CheckPathPrefix(route.PathPrefix); err != nil {
+		return []violation{newViolation(routeLocation(key, route, ".path"), []model.Key{key}, "%v", err)}
+	}
+	return nil
+}
+
 // checkGrant returns a violation for each host and path of the route that lies
 // outside the team's grant.
 func checkGrant(key model.Key, route *model.Route, grant *model.Grant) []violation {
@@ -92,7 +101,7 @@
 				"host %q is not granted to team %q", host, grant.Team))
 		}
 	}
-	within := func(prefix string) bool { return isWithin(route.PathPrefix, prefix) }
+	within := func(granted string) bool { return strings.HasPrefix(route.PathPrefix, granted) }
 	if !slices.ContainsFunc(grant.PathPrefixes, within) {
 		out = append(out, newViolation(routeLocation(key, route, ".path"), blamed,
 			"path %q is not granted to team %q", route.PathPrefix, grant.Team))
@@ -100,14 +109,6 @@
 	return out
 }
 
-// isWithin reports whether path equals prefix or lies below it, compared by whole
-// segments.
-func isWithin(path, prefix string) bool {
-	prefix = strings.TrimSuffix(prefix, "/")
-	rest, ok := strings.CutPrefix(path, prefix)
-	return ok && (rest == "" || rest[0] == '/')
-}
-
 // checkClaims returns a violation for each route of another team that matches the
 // same requests. The resolved route lists all hosts that it matches.
 func (x *index) checkClaims(key model.Key, route, resolved *model.Route) []violation {
--- a/internal/decision/route/index.go
+++ b/internal/decision/route/index.go
@@ -17,20 +17,21 @@
 	anyHost *segment
 }
 
-// segment is a node of a tree of path segments. A nil segment has no routes.
+// segment is a node of a tree of path prefixes: each edge is the text up to the next
+// slash, which may be empty, and that slash. A nil segment has no routes.
 type segment struct {
 	children map[string]*segment
 	// routes are ordered by team and name.
 	routes []*model.Route
 }
 
-// find returns the routes of the longest prefix that matches the path.
+// find returns the routes with the longest prefix that begins the path.
 func (s *segment) find(path string) []*model.Route {
 	if s == nil {
 		return nil
 	}
 	longest := s.routes
-	for name, rest := nextSegment(path); name != ""; name, rest = nextSegment(rest) {
+	for name, rest, ok := strings.Cut(path, "/"); ok; name, rest, ok = strings.Cut(rest, "/") {
 		s = s.children[name]
 		if s == nil {
 			break
@@ -110,7 +111,7 @@
 	s *segment, path string, r *model.Route, apply func(*segment, *model.Route),
 ) *segment {
 	s = b.mutable(s)
-	if name, rest := nextSegment(path); name == "" {
+	if name, rest, ok := strings.Cut(path, "/"); !ok {
 		apply(s, r)
 	} else if child := b.updatePath(s.children[name], rest, r, apply); child != nil {
 		s.children[name] = child
@@ -151,15 +152,6 @@
 	return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Name, b.Name))
 }
 
-// nextSegment splits the first non-empty segment off a path.
-func nextSegment(path string) (name, rest string) {
-	path = strings.TrimLeft(path, "/")
-	if i := strings.IndexByte(path, '/'); i >= 0 {
-		return path[:i], path[i:]
-	}
-	return path, ""
-}
-
 // CanonicalHost returns the host in lower case, without a port and without
 // the final dot.
 func CanonicalHost(host string) string {
--- a/internal/decision/route/table.go
+++ b/internal/decision/route/table.go
@@ -135,9 +135,10 @@
 }
 
 // Lookup finds the route of a request. The host must be in the form that
-// [CanonicalHost] returns. The routes of the exact host take precedence over those for
-// any host; among them the longest path prefix wins, regardless of its methods. The
-// number of the request selects the destination of a route with several.
+// [CanonicalHost] returns, the path in the form that the caller sent, not decoded. The
+// routes of the exact host take precedence over those for any host; among them the
+// longest prefix that begins the path wins, regardless of its methods. The number of
+// the request selects the destination of a route with several.
 func (t *Table) Lookup(host, path, method string, number uint64) Match {
 	routes := t.index.lookup(host, path)
 	for _, r := range routes {
--- a/internal/document/root.go
+++ b/internal/document/root.go
@@ -94,15 +94,15 @@
 const maxPathLength = 1024
 
 // checkPath reports an invalid path prefix and returns whether it is valid. Routes
-// match the decoded path of a URL, without its query and fragment.
+// match the path of a URL as the caller sent it, without its query and fragment.
 func (r *reader) checkPath(v value, path string) bool {
 	switch {
 	case !strings.HasPrefix(path, "/"):
 		r.addf(v, "%s does not start with /", quote(path))
 	case len(path) > maxPathLength:
 		r.addf(v, "path is longer than %d bytes", maxPathLength)
-	case path != "/" && strings.HasSuffix(path, "/"):
-		r.addf(v, "%s ends with /; a prefix always matches whole segments, so omit the last /", quote(path))
+	case !strings.HasSuffix(path, "/"):
+		r.addf(v, "%s does not end with /; a prefix matches the paths that begin with it, such as %s", quote(path), quote(path+"/"))
 	case strings.Contains(path, "//") || strings.ContainsAny(path, "?#% \t\r\n\\"):
 		r.addf(v, "%s has an empty segment or a character that is not allowed in a path prefix", quote(path))
 	case slices.ContainsFunc(strings.Split(path, "/"), func(s string) bool { return s == "." || s == ".." }):
--- a/internal/model/tree.go
+++ b/internal/model/tree.go
@@ -48,7 +48,8 @@
 	// Hosts are matched exactly, without the port. Empty means all hosts of the
 	// team's grant in a team's document, and any host in a Tree.
 	Hosts []string `json:"hosts,omitempty"`
-	// PathPrefix is matched on whole segments; the longest match wins.
+	// PathPrefix begins the paths that the route matches; the longest match wins. It
+	// begins and ends with a slash, see [CheckPathPrefix].
 	PathPrefix string `json:"path_prefix"`
 	// Methods are HTTP methods; empty means all.
 	Methods []string `json:"methods,omitempty"`
@@ -117,6 +118,6 @@
 	Team TeamName `json:"team"`
 	// Hosts that the team's routes may match.
 	Hosts []string `json:"hosts,omitempty"`
-	// PathPrefixes beneath which the team's routes may match.
+	// PathPrefixes begin the prefixes that the team's routes may have.
 	PathPrefixes []string `json:"path_prefixes,omitempty"`
 }
--- a/internal/service/ingress/serve.go
+++ b/internal/service/ingress/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -95,19 +96,29 @@
 		return route.Match{}, notRun(http.StatusBadRequest, reasonInvalid)
 	}
 	host := route.CanonicalHost(r.Host)
-	match := table.Lookup(host, r.URL.Path, r.Method, number)
+	path := sentPath(r.URL)
+	match := table.Lookup(host, path, r.Method, number)
 	switch match.Result {
 	case route.NoRoute:
 		return match, notRun(http.StatusNotFound, model.ReasonNoRoute)
 	case route.MethodNotAllowed:
 		refused := notRun(http.StatusMethodNotAllowed, model.ReasonNoRoute)
-		refused.allow = strings.Join(table.Methods(host, r.URL.Path), ", ")
+		refused.allow = strings.Join(table.Methods(host, path), ", ")
 		return match, refused
 	default:
 		return match, nil
 	}
 }
 
+// sentPath returns the path of a request's URL as the caller sent it. The decoded path
+// cannot be matched: in it, an encoded slash looks like one that separates segments.
+func sentPath(u *url.URL) string {
+	if u.RawPath != "" {
+		return u.RawPath
+	}
+	return u.EscapedPath()
+}
+
 // isUpgrade reports whether the caller asks to switch to the WebSocket protocol,
 // which is not supported. Such a request is refused, since the caller could not read
 // a response in plain HTTP.
--- a/internal/standin/chaos/publisher.go
+++ b/internal/standin/chaos/publisher.go
@@ -50,11 +50,11 @@
 }
 
 // grantedPaths holds, for each team, a path that the root document grants to it.
-var grantedPaths = map[model.TeamName]string{"catalogue": "/lots", "bidding": "/bids", "inspection": "/photographs"}
+var grantedPaths = map[model.TeamName]string{"catalogue": "/lots/", "bidding": "/bids/", "inspection": "/photographs/"}
 
 func (p *publisher) documentWithRoute(team model.TeamName, number int, service string) []byte {
 	name := fmt.Sprintf("version-%d", number)
-	return mesh.AddRoute(document(team), name, grantedPaths[team]+"/"+name, service)
+	return mesh.AddRoute(document(team), name, grantedPaths[team]+name+"/", service)
 }
 
 // publish also records whether the version is good.
--- a/internal/standin/chaos/workloads.go
+++ b/internal/standin/chaos/workloads.go
@@ -14,7 +14,7 @@
 	// offerDeadline is the deadline of the routes for offers, which are not idempotent.
 	offerDeadline = 5 * time.Second
 	// offerPath follows the path of a team.
-	offerPath = "/offers"
+	offerPath = "offers/"
 	// readDeadline, bidDeadline and uploadDeadline are those of the example documents.
 	readDeadline   = time.Second
 	bidDeadline    = 3 * time.Second
@@ -29,10 +29,10 @@
 
 func workloads() []load.Workload {
 	return []load.Workload{
-		{Name: "read", Method: "GET", Host: host, Path: "/lots", Idempotent: true, Rate: 80, ResponseBytes: 2000, RouteDeadline: readDeadline},
-		{Name: "bid", Method: "POST", Host: host, Path: "/bids", HasIdempotencyKey: true, Rate: 60, BodyBytes: 200, RouteDeadline: bidDeadline},
+		{Name: "read", Method: "GET", Host: host, Path: "/lots/", Idempotent: true, Rate: 80, ResponseBytes: 2000, RouteDeadline: readDeadline},
+		{Name: "bid", Method: "POST", Host: host, Path: "/bids/", HasIdempotencyKey: true, Rate: 60, BodyBytes: 200, RouteDeadline: bidDeadline},
 		{
-			Name: "upload", Method: "POST", Host: host, Path: "/photographs", Rate: 3,
+			Name: "upload", Method: "POST", Host: host, Path: "/photographs/", Rate: 3,
 			BodyBytes: 400_000, BodyTime: 2 * time.Second, Run: 200 * time.Millisecond, RouteDeadline: uploadDeadline,
 		},
 	}
@@ -75,7 +75,7 @@
 		w.Timeout = between(shortestTimeout, timeoutSpan).Truncate(time.Millisecond)
 	}
 	if random.IntN(readOneIn) == 0 {
-		w.Name, w.Method, w.Path, w.Idempotent, w.RouteDeadline = "browse", "GET", "/lots", true, readDeadline
+		w.Name, w.Method, w.Path, w.Idempotent, w.RouteDeadline = "browse", "GET", "/lots/", true, readDeadline
 		return w
 	}
 	if random.IntN(longOneIn) == 0 {
