quarantine: a crash is evidence only against a request that ran alone

After one crash, equal requests got 503 for minutes.

Cause: a request that was running at two crashes was quarantined. All that runs at a crashing server has that in common, and the busiest requests of a service run at each crash. A single crash kept a suspect from running: fingerprints did not cover bodies, so bookings were never cleared, and on the platform nodes did not know which listed server is their own.

Ruled out: failed health checks alone (they did count as crashes, and do not any more, but the servers of the case did crash).

Change: presence at a crash makes a request run alone. A crash under a request that ran alone quarantines it. A run that ends clears it, since a request that crashes servers crashes each that begins it. Fingerprints cover the first 64 KiB of the body, which the caller's node digests. After 5 s any server may run a suspect, not only the designated one.

TestServerCrashDeniesNoRequest failed in its four parts on the code before. TestCrashingRequestCrashesAtMostTwoServers passes unchanged, 2 crashes.

TestAtMostOneDesignated and testdata/crashes asserted the old rule (two crashes in company quarantine; no server left runs a suspect); they assert the new one as strictly.

--- a/internal/call/body.go
+++ b/internal/call/body.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"hash/crc32"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -14,9 +15,6 @@
 // the request can be sent again.
 const BufferLimit = 64 << 10
 
-// unknownLength is the length of a body whose length is not declared.
-const unknownLength = -1
-
 // Body is the body of a caller's request. A small one is kept in memory and can
 // be opened any number of times; a large one is a stream that can be opened
 // again only until it is first read.
@@ -24,40 +22,45 @@
 	data   []byte
 	stream io.Reader
 	length int64
+	digest uint32
 	reader *streamReader
 }
 
 // ReadBody returns the body of the declared length (-1 if unknown) that r reads.
-// It reads bodies of up to BufferLimit bytes into memory and returns an error if
-// that fails.
+// It reads bodies of up to BufferLimit bytes into memory, and that much of larger ones.
+// It returns an error if that fails.
 func ReadBody(r io.Reader, length int64) (*Body, error) {
 	if length == 0 {
 		return &Body{}, nil
 	}
-	if length > BufferLimit {
-		return &Body{stream: r, length: length}, nil
-	}
-	data, err := readSmall(r, length)
+	first, err := readFirst(r, length)
 	if err != nil {
 		return nil, err
 	}
-	if len(data) <= BufferLimit {
-		return &Body{data: data, length: int64(len(data))}, nil
+	body := &Body{data: first, length: int64(len(first)), digest: crc32.Checksum(first, digestTable)}
+	if length > BufferLimit || len(first) > BufferLimit {
+		body.data, body.length, body.stream = nil, length, io.MultiReader(bytes.NewReader(first), r)
 	}
-	return &Body{stream: io.MultiReader(bytes.NewReader(data), r), length: unknownLength}, nil
+	return body, nil
 }
 
-// readSmall reads a body into memory; of one of unknown length, it reads at most
-// one byte more than BufferLimit.
-func readSmall(r io.Reader, length int64) ([]byte, error) {
+var digestTable = crc32.MakeTable(crc32.Castagnoli)
+
+// readFirst reads the first part of a body into memory: up to BufferLimit bytes, and one
+// byte more if the length is unknown.
+func readFirst(r io.Reader, length int64) ([]byte, error) {
 	if length < 0 {
 		return io.ReadAll(io.LimitReader(r, BufferLimit+1))
 	}
-	data := make([]byte, length)
+	data := make([]byte, min(length, BufferLimit))
 	_, err := io.ReadFull(r, data)
 	return data, err
 }
 
+// Digest returns a checksum of the part of the body that ReadBody has read. The retries
+// of a request have equal digests; 0 means that the body is empty.
+func (b *Body) Digest() uint32 { return b.digest }
+
 // Length returns the length in bytes, or -1 if it is unknown.
 func (b *Body) Length() int64 { return b.length }
 
--- a/internal/decision/quarantine/fingerprint.go
+++ b/internal/decision/quarantine/fingerprint.go
@@ -8,10 +8,9 @@
 
 // Fingerprint identifies a request across retries. It covers what a retry repeats
 // and leaves out what differs between attempts, such as request IDs, the host and
-// the caller's address. Two kinds of collision are accepted: requests without an
-// idempotency key that differ only in bodies of equal length share a fingerprint,
-// so a harmless one may be refused until the record expires; and two of 2^64
-// hashes may be equal by chance.
+// the caller's address. Two kinds of collision are accepted: requests that differ only
+// in bodies of equal length and digest share a fingerprint, so a harmless one may be
+// refused until the record expires; and two of 2^64 hashes may be equal by chance.
 type Fingerprint uint64
 
 // String formats the fingerprint for status pages and logs.
@@ -20,16 +19,21 @@
 // Attributes are the properties of a request that its retries share.
 type Attributes struct {
 	Method, Path, Query string
-	// BodyLength is -1 if unknown.
+	// BodyLength is -1 if unknown. BodyDigest is a digest of the first part of the body,
+	// or 0 if there is none.
 	BodyLength int64
+	BodyDigest uint32
 	// IdempotencyKey is empty if the caller sent none.
 	IdempotencyKey string
 }
 
 // Fingerprint returns the fingerprint of requests with these attributes.
 func (a Attributes) Fingerprint() Fingerprint {
-	length := strconv.FormatInt(a.BodyLength, 10)
-	return Fingerprint(hashStrings(a.Method, a.Path, a.Query, length, a.IdempotencyKey))
+	body := strconv.FormatInt(a.BodyLength, 10)
+	if a.BodyDigest != 0 {
+		body += "/" + strconv.FormatUint(uint64(a.BodyDigest), 16)
+	}
+	return Fingerprint(hashStrings(a.Method, a.Path, a.Query, body, a.IdempotencyKey))
 }
 
 // hashStrings hashes the parts with a separator after each, so that their
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -1,9 +1,11 @@
 // Package quarantine decides what happens to a request that was running when a
-// backend server crashed. After one crash it is a suspect: it runs alone and only
-// at one designated server that it has not crashed yet. After a crash of a second
-// server it is refused everywhere until its record expires. The package does no
-// I/O and reads no clock; the current time is an argument, and tables are
-// immutable values.
+// backend server crashed. That alone is weak evidence, since all requests that ran
+// there have it in common: the request becomes a suspect, which runs alone, at first
+// only at one designated server. A crash while a suspect runs alone is strong evidence:
+// the request is refused everywhere until its record expires. A run that ends without a
+// crash clears the suspect, since a request that crashes servers crashes each of them.
+// The package does no I/O and reads no clock; the current time is an argument, and
+// tables are immutable values.
 package quarantine
 
 import (
@@ -19,7 +21,12 @@
 const (
 	// Duration is the lifetime of a record after its latest crash.
 	Duration = 10 * time.Minute
-	// crashLimit is the number of crashed servers that quarantines a request.
+	// designationPeriod is the time after the latest crash in which only the designated
+	// server runs the suspect. It bounds how many servers a request crashes at a time;
+	// after it, any server may run the suspect, since the designated one may be down.
+	designationPeriod = 5 * time.Second
+	// crashLimit is the number of crashes, one of them with strong evidence, that
+	// quarantines a request.
 	crashLimit = 2
 	// maxSuspects is the maximum number of records on one node; those that expire
 	// first are evicted first.
@@ -32,11 +39,25 @@
 	// Time is when the instance's node detected the crash, in milliseconds since the
 	// Unix epoch. It distinguishes the crashes of one instance.
 	Time int64
+	// Alone is true if the request was a suspect and ran alone.
+	Alone bool
 }
 
-// compare orders crashes by instance, then by time.
+// compare orders crashes by instance, then by time, those of requests that ran alone
+// last.
 func (c Crash) compare(other Crash) int {
-	return cmp.Or(cmp.Compare(c.Instance, other.Instance), cmp.Compare(c.Time, other.Time))
+	return cmp.Or(cmp.Compare(c.Instance, other.Instance), cmp.Compare(c.Time, other.Time), compareBool(c.Alone, other.Alone))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
 
 // Suspect is the record of one fingerprint. Merging records is commutative,
@@ -57,17 +78,38 @@
 // Crashed returns the instances that have crashes which are not cleared, sorted.
 func (s Suspect) Crashed() []model.InstanceID {
 	var out []model.InstanceID
+	for _, c := range s.uncleared() {
+		out = append(out, c.Instance)
+	}
+	return slices.Compact(out)
+}
+
+// uncleared returns the crashes that are not cleared, sorted.
+func (s Suspect) uncleared() []Crash {
+	var out []Crash
 	for _, c := range s.Crashes {
 		if !slices.Contains(s.Cleared, c) {
-			out = append(out, c.Instance)
+			out = append(out, c)
 		}
 	}
-	return slices.Compact(out)
+	return out
 }
 
-// Quarantined reports whether the request has crashed so many servers that it
-// is refused everywhere.
-func (s Suspect) Quarantined() bool { return len(s.Crashed()) >= crashLimit }
+// RanAlone reports whether a server crashed while the request ran there alone.
+func (s Suspect) RanAlone() bool {
+	return slices.ContainsFunc(s.uncleared(), func(c Crash) bool { return c.Alone })
+}
+
+// Quarantined reports whether the request is refused everywhere. Servers that crash
+// together for a reason of their own quarantine no request that ran at several of them.
+func (s Suspect) Quarantined() bool { return len(s.uncleared()) >= crashLimit && s.RanAlone() }
+
+// Clear returns the record to add after the request has run without a crash. It clears
+// all crashes of s.
+func (s Suspect) Clear() Suspect {
+	s.Cleared = s.Crashes
+	return s
+}
 
 // Merge combines two records of one fingerprint.
 func Merge(a, b Suspect) Suspect {
@@ -96,6 +138,19 @@
 // Len returns the number of records, including expired ones.
 func (t Table) Len() int { return len(t.records) }
 
+// Suspect returns the record of a fingerprint. ok is false if there is none or if all
+// its crashes are cleared.
+func (t Table) Suspect(f Fingerprint) (s Suspect, ok bool) {
+	s = t.records[f]
+	return s, len(s.uncleared()) > 0
+}
+
+// IsSuspect reports whether a fingerprint has a record with crashes that are not cleared.
+func (t Table) IsSuspect(f Fingerprint) bool {
+	_, ok := t.Suspect(f)
+	return ok
+}
+
 // Suspects returns the unexpired records, sorted by fingerprint.
 func (t Table) Suspects(now time.Time) []Suspect {
 	var out []Suspect
@@ -143,13 +198,13 @@
 	old := t.records[s.Fingerprint]
 	merged := Merge(s, old)
 	t.records[s.Fingerprint] = merged
-	before, after := len(old.Crashed()), len(merged.Crashed())
+	before, after := len(old.uncleared()) > 0, len(merged.uncleared()) > 0
 	switch {
-	case before < crashLimit && after >= crashLimit:
+	case !old.Quarantined() && merged.Quarantined():
 		changes.Quarantined = append(changes.Quarantined, s.Fingerprint)
-	case before == 0 && after > 0:
+	case !before && after:
 		changes.Suspected = append(changes.Suspected, s.Fingerprint)
-	case before > 0 && after == 0:
+	case before && !after:
 		changes.Ended = append(changes.Ended, s.Fingerprint)
 	}
 }
@@ -189,11 +244,10 @@
 const (
 	// Clear means that the request is not a suspect.
 	Clear Verdict = iota
-	// RunAlone means that this server is the designated one, which runs the request
-	// while no other request runs.
+	// RunAlone means that this server may run the request while no other request runs.
 	RunAlone
 	// RunElsewhere means that this server must not run the request: another one is
-	// designated, or none is left.
+	// designated.
 	RunElsewhere
 	// Quarantined means that the request is refused everywhere.
 	Quarantined
@@ -206,48 +260,40 @@
 	Suspect Suspect
 }
 
-// Cleared returns the record to add after the suspect has run without a crash. It
-// clears only the crashes that were known at the time of the decision.
-func (d Decision) Cleared() Suspect {
-	s := d.Suspect
-	s.Cleared = s.Crashes
-	return s
-}
-
 // Decide returns the verdict on a request at the server self. members are those of
 // its service.
 func (t Table) Decide(f Fingerprint, self model.InstanceID, members []model.Member, now time.Time) Decision {
 	r, ok := t.records[f]
-	if !ok || !r.Expires.After(now) {
+	if !ok || !r.Expires.After(now) || len(r.uncleared()) == 0 {
 		return Decision{Verdict: Clear}
 	}
-	crashed := r.Crashed()
-	d := Decision{Verdict: RunElsewhere, Suspect: r}
+	latestCrash := r.Expires.Add(-Duration)
 	switch {
-	case len(crashed) == 0:
-		return Decision{Verdict: Clear}
-	case len(crashed) >= crashLimit:
-		d.Verdict = Quarantined
-	case slices.Contains(crashed, self):
-	case Designated(f, crashed, self, members) == self:
-		d.Verdict = RunAlone
+	case r.Quarantined():
+		return Decision{Verdict: Quarantined, Suspect: r}
+	case now.Sub(latestCrash) >= designationPeriod, Designated(f, r.Crashed(), self, members) == self:
+		return Decision{Verdict: RunAlone, Suspect: r}
+	default:
+		return Decision{Verdict: RunElsewhere, Suspect: r}
 	}
-	return d
 }
 
-// Designated returns, by rendezvous hashing of f, one of the present members that
-// are not among crashed. self always counts as a candidate.
+// Designated returns, by rendezvous hashing of f, one of the servers that are not among
+// crashed, or of all if none is left. The servers are self and the present members.
 func Designated(f Fingerprint, crashed []model.InstanceID, self model.InstanceID, members []model.Member) model.InstanceID {
-	best, bestHash := self, hashInstance(f, self)
+	candidates := []model.InstanceID{self}
 	for _, m := range members {
-		if m.ID == self || !m.Present() || slices.Contains(crashed, m.ID) {
-			continue
-		}
-		if h := hashInstance(f, m.ID); h > bestHash || h == bestHash && m.ID < best {
-			best, bestHash = m.ID, h
+		if m.ID != self && m.Present() {
+			candidates = append(candidates, m.ID)
 		}
 	}
-	return best
+	isCrashed := func(id model.InstanceID) bool { return slices.Contains(crashed, id) }
+	if sound := slices.DeleteFunc(slices.Clone(candidates), isCrashed); len(sound) > 0 {
+		candidates = sound
+	}
+	return slices.MaxFunc(candidates, func(a, b model.InstanceID) int {
+		return cmp.Or(cmp.Compare(hashInstance(f, a), hashInstance(f, b)), cmp.Compare(b, a))
+	})
 }
 
 func hashInstance(f Fingerprint, id model.InstanceID) uint64 {
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -43,6 +43,7 @@
 	fieldTime         = "h"
 	fieldSender       = "b"
 	fieldSent         = "m"
+	fieldBodyDigest   = "g"
 )
 
 // Names of the fields of HeaderResponse, which also has fieldID, fieldIncarnation
@@ -99,6 +100,8 @@
 	// the fastest one of the sender. A Sender of 0 means that they are unknown.
 	Sender uint64
 	Sent   time.Duration
+	// BodyDigest is a digest of the first part of the body, see call.Body; 0 means none.
+	BodyDigest uint32
 }
 
 // Encode sets HeaderRequest. Negative numbers and durations are sent as 0;
@@ -126,6 +129,7 @@
 	f.number(fieldTime, uint64(r.Time))
 	f.number(fieldSender, r.Sender)
 	f.duration(fieldSent, r.Sent)
+	f.number(fieldBodyDigest, uint64(r.BodyDigest))
 	h[HeaderRequest] = []string{f.String()}
 }
 
@@ -151,6 +155,7 @@
 		Time:         timeline.Timestamp(f.number(fieldTime)),
 		Sender:       uint64(f.number(fieldSender)),
 		Sent:         f.duration(fieldSent),
+		BodyDigest:   uint32(f.number(fieldBodyDigest)),
 	}
 	return r, ok && !f.malformed && r.ID != "" && r.Service != ""
 }
--- a/internal/service/backend/check.go
+++ b/internal/service/backend/check.go
@@ -132,16 +132,18 @@
 	return health.OK
 }
 
-// Crashed checks, after a connection broke, whether the server process has crashed.
-// A server that passes its health check has only closed the connection; any other
-// result counts as a crash. It is safe for concurrent use and returns within
-// crashProbeTimeout.
+// Crashed checks, after a connection broke, whether the server process has crashed,
+// which it has if it refuses or breaks a new connection. A server that passes its
+// health check has only closed the connection; one that fails it or does not respond in
+// time counts as unhealthy, but not as crashed. It is safe for concurrent use and
+// returns within crashProbeTimeout.
 func (s *Service) Crashed(ctx context.Context) bool {
-	if s.check(ctx, crashProbeTimeout) == health.OK {
+	result := s.check(ctx, crashProbeTimeout)
+	if result == health.OK {
 		return false
 	}
 	s.loop.TryPost(checked{result: health.Refused})
-	return true
+	return result == health.Refused
 }
 
 func (s *Service) handleChecked(m checked) {
--- a/internal/service/forward/attempt.go
+++ b/internal/service/forward/attempt.go
@@ -110,6 +110,7 @@
 		Incarnation:  a.endpoint.ID.Incarnation,
 		Sender:       s.config.Sender,
 		Sent:         now.Sub(s.start),
+		BodyDigest:   q.Body.Digest(),
 	}
 	if s.config.Time != nil {
 		r.Time = s.config.Time.Now()
--- a/internal/service/gate/abandoned.go
+++ b/internal/service/gate/abandoned.go
@@ -11,6 +11,10 @@
 	// abandonedWindow is how long a request whose connection the gate closed
 	// is assumed to run on the server.
 	abandonedWindow = 5 * time.Second
+	// abandonedBesideSuspect is that time where a suspect is held responsible for a crash
+	// because it ran alone. Most servers drop a request when its connection closes; with
+	// the longer time, hedges that lost would keep each suspect from having run alone.
+	abandonedBesideSuspect = time.Second
 	// maxAbandoned bounds the requests that are remembered.
 	maxAbandoned = 64
 )
@@ -36,13 +40,13 @@
 	}
 }
 
-// take removes all entries and returns those that may still run.
-func (a *abandoned) take(now time.Time) []quarantine.Fingerprint {
+// take removes all entries and returns those that are not older than the window.
+func (a *abandoned) take(now time.Time, window time.Duration) []quarantine.Fingerprint {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var out []quarantine.Fingerprint
 	for _, e := range a.entries {
-		if now.Sub(e.at) < abandonedWindow {
+		if now.Sub(e.at) < window {
 			out = append(out, e.fingerprint)
 		}
 	}
--- a/internal/service/gate/call.go
+++ b/internal/service/gate/call.go
@@ -54,8 +54,8 @@
 func (s *Service) newCall(w http.ResponseWriter, r *http.Request, request hop.Request) *call {
 	key := r.Header.Get(idempotencyHeader)
 	attributes := quarantine.Attributes{
-		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery,
-		BodyLength: r.ContentLength, IdempotencyKey: key,
+		Method: r.Method, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery,
+		BodyLength: r.ContentLength, BodyDigest: request.BodyDigest, IdempotencyKey: key,
 	}
 	c := &call{Request: request, w: w, r: r, arrived: s.clock.Now(), fingerprint: attributes.Fingerprint()}
 	c.oneWayDelay = s.oneWayDelay(request, c.arrived)
@@ -121,7 +121,7 @@
 // fingerprintCoversBody reports whether requests with this fingerprint have equal
 // bodies, so that one that runs without a crash clears the others.
 func (c *call) fingerprintCoversBody() bool {
-	return c.r.ContentLength == 0 || c.r.Header.Get(idempotencyHeader) != ""
+	return c.r.ContentLength == 0 || c.BodyDigest != 0 || c.r.Header.Get(idempotencyHeader) != ""
 }
 
 // refusal is the outcome of a call for which the gate responds instead of the
--- a/internal/service/gate/dependencies.go
+++ b/internal/service/gate/dependencies.go
@@ -36,7 +36,8 @@
 	Prepared() bool
 	Decide(f quarantine.Fingerprint) quarantine.Decision
 	Report(ctx context.Context, fingerprints []quarantine.Fingerprint)
-	RanAlone(d quarantine.Decision)
+	ReportAlone(ctx context.Context, f quarantine.Fingerprint, abandoned []quarantine.Fingerprint)
+	Completed(f quarantine.Fingerprint)
 	Suspects() *kernel.Snapshot[quarantine.Table]
 }
 
--- a/internal/service/gate/relay.go
+++ b/internal/service/gate/relay.go
@@ -52,8 +52,8 @@
 	s.endAnswered(c, r.answer(response))
 	s.logCall(c, model.OutcomeAnswered, "", response.StatusCode, 0)
 	s.counters.countAnswered()
-	if c.exclusive() && c.fingerprintCoversBody() {
-		s.deps.suspects.RanAlone(c.quarantineDecision)
+	if c.fingerprintCoversBody() {
+		s.deps.suspects.Completed(c.fingerprint)
 	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -159,6 +159,11 @@
 	if !s.deps.server.Crashed(ctx) {
 		return model.ReasonConnectionLost
 	}
-	s.deps.suspects.Report(ctx, append(s.abandoned.take(s.clock.Now()), c.fingerprint))
+	now := s.clock.Now()
+	if c.exclusive() {
+		s.deps.suspects.ReportAlone(ctx, c.fingerprint, s.abandoned.take(now, abandonedBesideSuspect))
+	} else {
+		s.deps.suspects.Report(ctx, append(s.abandoned.take(now, abandonedWindow), c.fingerprint))
+	}
 	return model.ReasonCrashed
 }
--- a/internal/service/gate/watch.go
+++ b/internal/service/gate/watch.go
@@ -25,7 +25,7 @@
 }
 
 func (s *Service) reportAbandoned(ctx context.Context) {
-	if fingerprints := s.abandoned.take(s.clock.Now()); len(fingerprints) > 0 {
+	if fingerprints := s.abandoned.take(s.clock.Now(), abandonedWindow); len(fingerprints) > 0 {
 		s.deps.suspects.Report(ctx, fingerprints)
 	}
 }
--- a/internal/service/quarantine/quarantine.go
+++ b/internal/service/quarantine/quarantine.go
@@ -8,6 +8,8 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,6 +70,9 @@
 	// notifyAll is true while some peers may lack suspects of this node; exchanges
 	// then include all peers.
 	notifyAll atomic.Bool
+
+	completionsMu sync.Mutex
+	completions   quarantine.Completions
 }
 
 // New returns a service without suspects.
@@ -131,7 +136,23 @@
 	if table.Len() == 0 {
 		return quarantine.Decision{Verdict: quarantine.Clear}
 	}
-	return table.Decide(f, s.self.ID, s.members.ServiceMembers(s.self.Service), s.clock.Now())
+	members := s.members.ServiceMembers(s.self.Service)
+	return table.Decide(f, s.listedID(members), members, s.clock.Now())
+}
+
+// listedID returns the ID of this node's server in the member list. A platform may list
+// it under an ID that the node does not know, but with the node's address.
+func (s *Service) listedID(members []model.Member) model.InstanceID {
+	own := model.Member{ID: s.self.ID}
+	for _, m := range members {
+		if m.ID == s.self.ID {
+			return m.ID
+		}
+		if m.Present() && m.Addresses.Traffic == s.self.Addresses.Traffic && (own.ID == s.self.ID || m.NewerThan(own)) {
+			own = m
+		}
+	}
+	return own.ID
 }
 
 // Prepared reports whether the first exchange of suspects with the peers has ended or
@@ -139,34 +160,75 @@
 func (s *Service) Prepared() bool { return s.prepared.Load() }
 
 // Report records requests that were running when this node's server crashed as
-// suspects. It returns when the gates of the same service have acknowledged them, or
-// after noticeTimeout; peers that have not acknowledged them by then are notified again
-// later. The caller must not respond to the requests before Report returns, since a
-// retry could otherwise reach a gate without the record.
+// suspects, except those of which another one completed recently. It returns when the
+// gates of the same service have acknowledged them, or after noticeTimeout; peers that
+// have not acknowledged them by then are notified again later. The caller must not
+// respond to the requests before Report returns, since a retry could otherwise reach a
+// gate without the record.
 func (s *Service) Report(ctx context.Context, fingerprints []quarantine.Fingerprint) {
+	fingerprints = slices.DeleteFunc(fingerprints, s.completedRecently)
+	if len(fingerprints) > 0 {
+		s.report(ctx, fingerprints, false)
+	}
+}
+
+// ReportAlone is Report for a suspect that held the server alone when it crashed. The
+// abandoned requests may have been running there too; if another one did not complete
+// recently, the evidence is no stronger than that of Report. Earlier completions do not
+// count in favour of the suspect itself.
+func (s *Service) ReportAlone(ctx context.Context, f quarantine.Fingerprint, abandoned []quarantine.Fingerprint) {
+	others := slices.DeleteFunc(abandoned, func(other quarantine.Fingerprint) bool {
+		return other == f || s.completedRecently(other)
+	})
+	s.report(ctx, append(others, f), len(others) == 0)
+}
+
+func (s *Service) report(ctx context.Context, fingerprints []quarantine.Fingerprint, alone bool) {
 	ctx, cancel := clock.WithTimeout(ctx, s.clock, noticeTimeout)
 	defer cancel()
 	now := s.clock.Now()
-	crashes := []quarantine.Crash{{Instance: s.self.ID, Time: now.UnixMilli()}}
+	instance := s.listedID(s.members.ServiceMembers(s.self.Service))
+	crashes := []quarantine.Crash{{Instance: instance, Time: now.UnixMilli(), Alone: alone}}
 	suspects := make([]quarantine.Suspect, len(fingerprints))
 	for i, f := range fingerprints {
 		suspects[i] = quarantine.Suspect{Fingerprint: f, Crashes: crashes, Expires: now.Add(quarantine.Duration)}
 	}
+	s.log.Info("requests were running when the backend server crashed", "count", len(suspects), "alone", alone)
 	s.apply(ctx, suspects)
 	if !s.notify(ctx, s.peers(), suspects) {
 		s.notifyAll.Store(true)
 		s.clock.AfterFunc(initialRetryDelay, s.requestExchange)
+	} else if s.anyCleared(fingerprints) {
+		s.notifyAll.Store(true)
+		s.requestExchange()
 	}
 }
 
-// RanAlone clears a suspect that has run alone on this node's server without a
-// crash. It does not wait; the other gates are notified later. If the mailbox of the
-// control loop is full, the suspect is not cleared.
-func (s *Service) RanAlone(d quarantine.Decision) {
-	message := suspectsReceived{
-		suspects: []quarantine.Suspect{d.Cleared()}, applied: make(chan struct{}), notifyPeers: true,
+// anyCleared reports whether a peer has cleared one of the suspects in its response, so
+// that the other peers have to be told.
+func (s *Service) anyCleared(fingerprints []quarantine.Fingerprint) bool {
+	table := s.table.Load()
+	return slices.ContainsFunc(fingerprints, func(f quarantine.Fingerprint) bool { return !table.IsSuspect(f) })
+}
+
+func (s *Service) completedRecently(f quarantine.Fingerprint) bool {
+	s.completionsMu.Lock()
+	defer s.completionsMu.Unlock()
+	return s.completions.Recent(f, s.clock.Now())
+}
+
+// Completed records that a request has run on this node's server without a crash, which
+// clears its suspicion. It does not wait; the other gates are notified later. If the
+// mailbox of the control loop is full, a suspect is not cleared.
+func (s *Service) Completed(f quarantine.Fingerprint) {
+	s.completionsMu.Lock()
+	s.completions.Add(f, s.clock.Now())
+	s.completionsMu.Unlock()
+	if suspect, ok := s.table.Load().Suspect(f); ok {
+		s.loop.TryPost(suspectsReceived{
+			suspects: []quarantine.Suspect{suspect.Clear()}, applied: make(chan struct{}), notifyPeers: true,
+		})
 	}
-	s.loop.TryPost(message)
 }
 
 // HandleSuspects records the suspects that a peer sent and returns all suspects of this
@@ -177,11 +239,22 @@
 	defer cancel()
 	if len(in) > 0 {
 		s.log.Info("suspects received", "peer", node, "count", len(in))
-		s.apply(ctx, in)
+		s.apply(ctx, s.clearCompleted(in))
 	}
 	return s.table.Load().Suspects(s.clock.Now())
 }
 
+// clearCompleted clears the suspects of which this node's server completed one recently,
+// unless a server crashed while one of them ran alone.
+func (s *Service) clearCompleted(in []quarantine.Suspect) []quarantine.Suspect {
+	for i, suspect := range in {
+		if !suspect.RanAlone() && s.completedRecently(suspect.Fingerprint) {
+			in[i] = suspect.Clear()
+		}
+	}
+	return in
+}
+
 // apply posts suspects to the control loop and waits until the snapshot contains
 // them or the context ends.
 func (s *Service) apply(ctx context.Context, in []quarantine.Suspect) {
--- a/internal/wire/wireconv/suspect.go
+++ b/internal/wire/wireconv/suspect.go
@@ -40,7 +40,7 @@
 func crashesToWire(crashes []quarantine.Crash) []*wire.Crash {
 	var out []*wire.Crash
 	for _, c := range crashes {
-		out = append(out, &wire.Crash{Instance: string(c.Instance), Time: c.Time})
+		out = append(out, &wire.Crash{Instance: string(c.Instance), Time: c.Time, Alone: c.Alone})
 	}
 	return out
 }
@@ -48,7 +48,7 @@
 func crashesFromWire(messages []*wire.Crash) []quarantine.Crash {
 	var out []quarantine.Crash
 	for _, m := range messages {
-		out = append(out, quarantine.Crash{Instance: model.InstanceID(m.GetInstance()), Time: m.GetTime()})
+		out = append(out, quarantine.Crash{Instance: model.InstanceID(m.GetInstance()), Time: m.GetTime(), Alone: m.GetAlone()})
 	}
 	return out
 }
