membership: a peer's old record does not bring back a removed server

What callers could see: requests to a server that had left (DRAIN), at a node that had read the removal itself.

Cause: a removal names only an ID. It was dropped if the node did not know the server, and a complete listing removed only servers that it knew. A peer that has lost the platform still sends the old record, which then looked like news.

Ruled out: servers that the node knows; there the greater revision wins.

Change: membership remembers removals of unknown servers and the revision of the newest complete listing. A peer's record that the former contradict is taken as removed; one that the latter does not contain is left out, without telling others, since its entry may only have expired in an outage.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenalever/galenalever/internal/decision/drain"
+	"github.com/galenalever/galenalever/internal/decision/platformread"
 	"github.com/galenalever/galenalever/internal/decision/replicate"
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -95,6 +96,11 @@
 type MembersReceived struct {
 	From    Origin
 	Members []model.Member
+	// Removed holds removals of instances that the sender of the message does not know.
+	Removed []platformread.Removal
+	// CompleteAt is the revision of a complete listing of the platform that Members and
+	// earlier messages contain; 0 if there is none.
+	CompleteAt model.Revision
 }
 
 // MessageName implements kernel.Message.
--- a/internal/decision/platformread/instances.go
+++ b/internal/decision/platformread/instances.go
@@ -31,16 +31,19 @@
 }
 
 // RemovalRecords returns removal records for those of the removed instances that are
-// known and were listed before.
-func RemovalRecords(view *members.View, removals []Removal) []model.Member {
-	var removed []model.Member
+// known and were listed before, and the removals of those that are not known.
+func RemovalRecords(view *members.View, removals []Removal) (removed []model.Member, unknown []Removal) {
 	for _, r := range removals {
-		if known, ok := view.Get(r.ID); ok && wasListed(known, r.Revision) {
+		known, ok := view.Get(r.ID)
+		switch {
+		case !ok:
+			unknown = append(unknown, r)
+		case wasListed(known, r.Revision):
 			known.Listed, known.ListedAt = model.ListingRemoved, r.Revision
 			removed = append(removed, known)
 		}
 	}
-	return removed
+	return removed, unknown
 }
 
 // wasListed reports whether the platform listed the instance before revision and has
--- a/internal/decision/platformread/platformread_test.go
+++ b/internal/decision/platformread/platformread_test.go
@@ -143,10 +143,13 @@
 		return model.Member{ID: model.InstanceID(id), Service: "shop/a", Listed: model.ListingLive, ListedAt: at}
 	}
 	view, _ := members.New(1).With(listed("old", 2), listed("newer", 9), model.Member{ID: "unlisted"})
-	got := platformread.RemovalRecords(view, []platformread.Removal{
+	got, unknown := platformread.RemovalRecords(view, []platformread.Removal{
 		{ID: "old", Revision: 5}, {ID: "newer", Revision: 5}, {ID: "unlisted", Revision: 5}, {ID: "unknown", Revision: 5},
 	})
 	if len(got) != 1 || got[0].ID != "old" || got[0].Listed != model.ListingRemoved || got[0].ListedAt != 5 || got[0].Service != "shop/a" {
 		t.Errorf("got %+v", got)
 	}
+	if len(unknown) != 1 || unknown[0].ID != "unknown" || unknown[0].Revision != 5 {
+		t.Errorf("unknown: %+v", unknown)
+	}
 }
--- a/internal/service/membership/membership.go
+++ b/internal/service/membership/membership.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/members"
+	"github.com/galenalever/galenalever/internal/decision/platformread"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
@@ -59,6 +61,8 @@
 	// departed holds the time at which this node recorded the departure of each
 	// instance.
 	departed map[model.InstanceID]time.Time
+	// removals is used on the control loop only.
+	removals platformread.Removals
 }
 
 // forget is the timer message that removes records of departed instances.
@@ -106,7 +110,7 @@
 		return err
 	}
 	s.clock, s.loop, s.log = c.Clock, c.Loop, c.Log
-	kernel.Subscribe(c.Loop, func(m control.MembersReceived) { s.merge(m.Members) })
+	kernel.Subscribe(c.Loop, s.handleReceived)
 	kernel.Subscribe(c.Loop, s.handlePresence)
 	kernel.Subscribe(c.Loop, func(forget) { s.handleForget() })
 	return nil
@@ -132,6 +136,21 @@
 	s.merge([]model.Member{s.own})
 }
 
+// handleReceived merges records that the platform or another node has sent. Another node
+// may have lost the platform and still report instances that are no longer listed.
+func (s *Service) handleReceived(m control.MembersReceived) {
+	received := m.Members
+	if !m.From.Platform {
+		received = s.removals.Apply(s.view.Load(), received)
+	}
+	removed, unknown := platformread.RemovalRecords(s.view.Load(), m.Removed)
+	for _, r := range unknown {
+		s.removals.Add(r)
+	}
+	s.removals.ListedCompletely(m.CompleteAt)
+	s.merge(slices.Concat(received, removed))
+}
+
 // merge adds records to the view and publishes the result. If a record of this
 // process's own instance differs from its announcement, the process announces
 // itself again in a way that supersedes the record.
--- a/internal/service/routing/routing_test.go
+++ b/internal/service/routing/routing_test.go
@@ -75,7 +75,7 @@
 	tree := &model.Tree{Services: make(map[model.ServiceName]*model.Service)}
 	for _, name := range services {
 		tree.Services[name] = &model.Service{Name: name}
-		tree.Routes = append(tree.Routes, &model.Route{Name: string(name), PathPrefix: "/" + string(name), Service: name})
+		tree.Routes = append(tree.Routes, &model.Route{Name: string(name), PathPrefix: "/" + string(name) + "/", Service: name})
 	}
 	n.config.snapshot.Store(&model.Configuration{Tree: tree})
 	n.post(control.ConfigurationChanged{Configuration: n.config.snapshot.Load()})
--- a/internal/service/source/instances.go
+++ b/internal/service/source/instances.go
@@ -40,18 +40,23 @@
 		}
 		retry.succeeded()
 		if list.Partial {
-			_ = s.loop.Post(ctx, membersOf(list.Members)) // the next listing continues this one
+			_ = s.loop.Post(ctx, membersOf(list)) // the next listing continues this one
 			continue
 		}
 		wait = s.config.Pacing.WatchWait
-		s.postMembers(ctx, s.holdRemovals(list.Members, now), list.Revision, current)
+		list.Members = s.holdRemovals(list.Members, now)
+		s.postMembers(ctx, list, current)
 		report(true) // other nodes may now rely on what this one knows
 		s.awaitListInterval(ctx)
 	}
 }
 
-func membersOf(received []model.Member) control.MembersReceived {
-	return control.MembersReceived{From: control.Origin{Platform: true}, Members: received}
+func membersOf(list InstanceListing) control.MembersReceived {
+	message := control.MembersReceived{From: control.Origin{Platform: true}, Members: list.Members, Removed: list.Removed}
+	if list.Complete && !list.Partial {
+		message.CompleteAt = list.Revision
+	}
+	return message
 }
 
 // holdRemovals delays removals that a platform outage may have caused, since
@@ -65,14 +70,14 @@
 	return append(passed, s.removalHold.Due(now)...)
 }
 
-// postMembers posts the changes up to a revision. While removals are held back, not all
-// changes are known.
-func (s *Service) postMembers(ctx context.Context, received []model.Member, revision model.Revision, current assignment) {
+// postMembers posts the changes up to the revision of a listing. While removals are held
+// back, not all changes are known.
+func (s *Service) postMembers(ctx context.Context, list InstanceListing, current assignment) {
 	var messages []kernel.Message
-	if len(received) > 0 {
-		messages = append(messages, membersOf(received))
+	if len(list.Members) > 0 || len(list.Removed) > 0 || list.Complete {
+		messages = append(messages, membersOf(list))
 	}
-	done := listingRead{listing: listingInstances, round: current.round, revision: revision, handled: make(chan struct{})}
+	done := listingRead{listing: listingInstances, round: current.round, revision: list.Revision, handled: make(chan struct{})}
 	if s.removalHold.Holding() {
 		done.revision = 0
 	}
@@ -95,7 +100,8 @@
 	for _, invalid := range list.InvalidEntries {
 		s.log.Warn("invalid entry in the platform's instance list", "error", invalid, "listed_at", list.Revision)
 	}
-	list.Members = append(list.Members, platformread.RemovalRecords(s.members.Load(), list.Removed)...)
+	removed, unknown := platformread.RemovalRecords(s.members.Load(), list.Removed)
+	list.Members, list.Removed = append(list.Members, removed...), unknown
 	if list.Partial {
 		return list, nil
 	}
