platformread: a later batch does not hold earlier removals longer

Cause: removals that come in large numbers are held back for 1.2 s, since entries may have expired in an outage. There was one end for all held removals, and each further batch moved it.

Ruled out: the read itself; the batches arrived within 0.5 s.

Change: each held removal has its own end. Only a failure of the platform that is noticed later moves it.

Test: TestLaterBatchDoesNotHoldEarlierRemovalsLonger failed before (no removal due after the first batch's grace period).

--- a/internal/decision/platformread/removal_hold.go
+++ b/internal/decision/platformread/removal_hold.go
@@ -25,17 +25,30 @@
 type RemovalHold struct {
 	// until is the end of the grace period after the last outage.
 	until time.Time
-	held  map[model.InstanceID]model.Member
+	held  map[model.InstanceID]heldRemoval
 }
 
-// PlatformRecovered starts the grace period: the platform answers again after a
-// failure.
-func (h *RemovalHold) PlatformRecovered(now time.Time) { h.until = now.Add(recoveryGrace) }
+// heldRemoval is a removal that passes at the time due.
+type heldRemoval struct {
+	record model.Member
+	due    time.Time
+}
+
+// PlatformRecovered starts the grace period, also of the removals that are held back: the
+// platform answers again after a failure.
+func (h *RemovalHold) PlatformRecovered(now time.Time) {
+	h.until = now.Add(recoveryGrace)
+	for id, r := range h.held {
+		r.due = later(r.due, h.until)
+		h.held[id] = r
+	}
+}
 
 // Filter returns the received records without the removals that are held back. The
 // function known returns the previous record of an instance, and knownCount is the
 // number of known servers. Removals of servers that were leaving pass at once,
-// since such a server will not write its entry again.
+// since such a server will not write its entry again. A later batch does not change when
+// those that are held already pass.
 func (h *RemovalHold) Filter(received []model.Member, known func(model.InstanceID) (model.Member, bool), knownCount int, now time.Time) []model.Member {
 	removed := func(m model.Member) bool {
 		before, ok := known(m.ID)
@@ -55,9 +68,9 @@
 		delete(h.held, m.ID) // the received record is newer
 		if removed(m) && now.Before(h.until) {
 			if h.held == nil {
-				h.held = make(map[model.InstanceID]model.Member)
+				h.held = make(map[model.InstanceID]heldRemoval)
 			}
-			h.held[m.ID] = m
+			h.held[m.ID] = heldRemoval{record: m, due: h.until}
 			continue
 		}
 		out = append(out, m)
@@ -75,24 +88,23 @@
 // Holding reports whether any removal is held back.
 func (h *RemovalHold) Holding() bool { return len(h.held) > 0 }
 
-// Due returns the held removals once the grace period is over, and releases them.
+// Due returns the held removals whose grace period is over, and releases them.
 func (h *RemovalHold) Due(now time.Time) []model.Member {
-	if now.Before(h.until) {
-		return nil
-	}
 	var out []model.Member
-	for _, m := range h.held {
-		out = append(out, m)
+	for id, r := range h.held {
+		if !now.Before(r.due) {
+			out = append(out, r.record)
+			delete(h.held, id)
+		}
 	}
-	clear(h.held)
 	return out
 }
 
 // Wait returns how long to wait for the next records: at most longest, and no longer
-// than until the held removals are due.
+// than until the first held removal is due.
 func (h *RemovalHold) Wait(longest time.Duration, now time.Time) time.Duration {
-	if len(h.held) == 0 {
-		return longest
+	for _, r := range h.held {
+		longest = min(longest, max(r.due.Sub(now), 0))
 	}
-	return min(longest, max(h.until.Sub(now), 0))
+	return longest
 }
--- a/internal/decision/platformread/removal_hold_test.go
+++ b/internal/decision/platformread/removal_hold_test.go
@@ -67,3 +67,33 @@
 		t.Errorf("%d removals are due", len(due))
 	}
 }
+
+// TestLaterBatchDoesNotHoldEarlierRemovalsLonger guards against servers that get requests
+// long after their removal because others were removed after them.
+func TestLaterBatchDoesNotHoldEarlierRemovalsLonger(t *testing.T) {
+	known := knownServers{}
+	for _, id := range []model.InstanceID{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"} {
+		known[id] = model.ListingLive
+	}
+	start := time.Unix(1000, 0)
+	var hold platformread.RemovalHold
+	hold.Filter([]model.Member{removal("a"), removal("b"), removal("c")}, known.get, 12, start)
+	second := start.Add(time.Second)
+	hold.Filter([]model.Member{removal("d"), removal("e"), removal("f")}, known.get, 9, second)
+	// The first batch is due 1.2 s after its arrival, the second one a second later.
+	if wait := hold.Wait(time.Minute, second); wait != 200*time.Millisecond {
+		t.Errorf("wait %v for the first batch", wait)
+	}
+	if due := hold.Due(start.Add(1200 * time.Millisecond)); len(due) != 3 {
+		t.Errorf("%d removals are due after the first batch's grace period", len(due))
+	}
+	if due := hold.Due(start.Add(2200 * time.Millisecond)); len(due) != 3 || hold.Holding() {
+		t.Errorf("%d removals are due after the second batch's grace period", len(due))
+	}
+
+	hold.Filter([]model.Member{removal("g"), removal("h"), removal("i")}, known.get, 6, start)
+	hold.PlatformRecovered(second)
+	if due := hold.Due(start.Add(3200 * time.Millisecond)); len(due) != 0 {
+		t.Errorf("%d removals are due although the platform failed since", len(due))
+	}
+}
