httpclient: bound the responses between nodes and from the platform

What callers could see: a node that runs out of memory, with all requests on it, while a faulty peer or platform sends a response without end.

Ruled out, with tests: bytes of a server, in the head, interim responses, chunk lines, trailers, any body, after a response, in health checks, and of an attempt that loses against a hedge.

--- a/internal/service/exchange/client.go
+++ b/internal/service/exchange/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/galenalever/galenalever/internal/httpclient"
 	"github.com/galenalever/galenalever/internal/wire"
 )
 
@@ -32,6 +33,8 @@
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     connIdleTimeout,
+
+			MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
 		},
 	}
 }
@@ -97,7 +100,7 @@
 		_ = body.Close()
 		return nil, eris.Wrap(err, "reading a compressed response")
 	}
-	body.Reader = io.LimitReader(content, maxResponseBytes)
+	body.Reader = httpclient.NewReader(content, maxResponseBytes)
 	response.Body = body
 	return response, nil
 }
--- a/internal/service/gate/peers.go
+++ b/internal/service/gate/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/decision/dedupe"
+	"github.com/galenalever/galenalever/internal/httpclient"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/wire"
 )
@@ -24,6 +25,8 @@
 	// maxPeerRequestBytes is the maximum size, in bytes, of the body of a call from
 	// another gate.
 	maxPeerRequestBytes = 4 << 20
+	// maxPeerResponseBytes is the maximum size, in bytes, of a gate's response.
+	maxPeerResponseBytes = 16 << 20
 )
 
 // peerClient calls other gates.
@@ -34,11 +37,13 @@
 		IdleConnTimeout:     peerIdleTimeout,
 		MaxIdleConnsPerHost: maxPeerConnections,
 		MaxConnsPerHost:     maxPeerConnections,
+
+		MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
 	}}}
 }
 
 func (p *peerClient) gateAt(address string) wire.Gate {
-	return wire.NewGateProtobufClient("http://"+address, p.http)
+	return wire.NewGateProtobufClient("http://"+address, httpclient.Bounded{Client: p.http, MaxBytes: maxPeerResponseBytes})
 }
 
 // recordAtReplicas stores a record at all replica members concurrently. It reports
--- a/internal/service/quarantine/notify.go
+++ b/internal/service/quarantine/notify.go
@@ -13,6 +13,7 @@
 
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/decision/quarantine"
+	"github.com/galenalever/galenalever/internal/httpclient"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/wire"
 	"github.com/galenalever/galenalever/internal/wire/wireconv"
@@ -24,6 +25,8 @@
 	partialExchangePeers = 8
 	// maxParallelCalls is the maximum number of concurrent calls to peers.
 	maxParallelCalls = 32
+	// maxResponseBytes is the maximum size, in bytes, of a peer's response.
+	maxResponseBytes = 1 << 20
 	// idleConnectionTimeout is the time after which an unused connection is closed.
 	idleConnectionTimeout = 30 * time.Second
 )
@@ -40,6 +43,8 @@
 		IdleConnTimeout:     idleConnectionTimeout,
 		MaxIdleConnsPerHost: 1,
 		MaxConnsPerHost:     2,
+
+		MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
 	}}
 }
 
@@ -136,7 +141,8 @@
 
 // call sends suspects to one peer and records those in its response.
 func (s *Service) call(ctx context.Context, peer model.Member, request *wire.SuspectRequest) error {
-	client := wire.NewExchangeProtobufClient("http://"+peer.Addresses.Control, s.client)
+	bounded := httpclient.Bounded{Client: s.client, MaxBytes: maxResponseBytes}
+	client := wire.NewExchangeProtobufClient("http://"+peer.Addresses.Control, bounded)
 	response, err := client.Suspect(ctx, request)
 	if err != nil {
 		return eris.Wrapf(err, "sending suspects to %s", peer.ID)
--- a/internal/service/source/caller.go
+++ b/internal/service/source/caller.go
@@ -1,6 +1,7 @@
 package source
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -15,12 +16,17 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"github.com/galenalever/galenalever/internal/httpclient"
 )
 
 const (
 	// maxResponseBytes limits a response body, of which the instance list is the largest.
 	// Decoding a longer one fails.
 	maxResponseBytes = 32 << 20
+	// maxResponseElements limits the elements of the lists in a response body, each of
+	// which may take many times the memory of its text. All commas count.
+	maxResponseElements = 1 << 19
 	// maxRetryAfter is the maximum of BusyError.RetryAfter; a longer Retry-After of the
 	// platform is reduced to it.
 	maxRetryAfter = time.Minute
@@ -75,6 +81,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
 	}
 	return &Caller{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport}}
 }
@@ -134,7 +142,7 @@
 		return err
 	}
 	progress := &progressReader{Reader: response.Body, timer: timer, timeout: timeout, bytes: &call.Bytes}
-	body := io.LimitReader(progress, maxResponseBytes)
+	body := httpclient.NewReader(progress, maxResponseBytes)
 	return eris.Wrap(causeOf(ctx, json.NewDecoder(body).Decode(out)), "decoding the platform's response")
 }
 
@@ -150,12 +158,16 @@
 	return err
 }
 
-// progressReader restarts the timeout of a call whenever data arrives.
+var errTooManyElements = eris.Errorf("the lists of the response have more than %d elements", maxResponseElements)
+
+// progressReader restarts the timeout of a call whenever data arrives. It fails after
+// maxResponseElements commas.
 type progressReader struct {
 	io.Reader
-	timer   *time.Timer
-	timeout time.Duration
-	bytes   *int64
+	timer    *time.Timer
+	timeout  time.Duration
+	bytes    *int64
+	elements int
 }
 
 // Read implements io.Reader.
@@ -165,6 +177,9 @@
 		r.timer.Reset(r.timeout)
 		*r.bytes += int64(n)
 	}
+	if r.elements += bytes.Count(p[:n], []byte{','}); r.elements > maxResponseElements {
+		return n, errTooManyElements
+	}
 	return n, err
 }
 
