ingress: the test of endless losers closes the connections it accepted

Cause: a connection that the node opened for an attempt which then lost stays in its pool for 20 s, and the stand-in waited on it for a request. No check is changed.

--- a/internal/service/ingress/endless_hedge_test.go
+++ b/internal/service/ingress/endless_hedge_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,6 +18,38 @@
 // lost against a hedge: what is read in advance, and what the socket buffers hold.
 const maxEndlessLoser = 1<<20 + 32<<20
 
+// trackingListener closes the connections that it has accepted. A connection that was
+// opened for an attempt which then lost would stay in the node's pool, unused.
+type trackingListener struct {
+	net.Listener
+	mu     sync.Mutex
+	conns  []net.Conn
+	closed bool
+}
+
+func (l *trackingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		_ = conn.Close()
+	}
+	l.conns = append(l.conns, conn)
+	return conn, nil
+}
+
+func (l *trackingListener) closeConnections() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for _, conn := range l.conns {
+		_ = conn.Close()
+	}
+}
+
 // TestEndlessResponseLosesAgainstHedge guards against a hedged attempt whose response does
 // not end and is read on after the other attempt has won.
 func TestEndlessResponseLosesAgainstHedge(t *testing.T) {
@@ -34,10 +67,12 @@
 			}}
 			var gates []*endless.Server
 			for _, id := range []model.InstanceID{"a", "b"} {
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				inner, err := net.Listen("tcp", "127.0.0.1:0")
 				if err != nil {
 					t.Fatal(err)
 				}
+				listener := &trackingListener{Listener: inner}
+				t.Cleanup(listener.closeConnections)
 				gate := endless.New(listener, endless.Config{
 					Form: func(*http.Request) *endless.Form { return &form },
 					ID: func(r *http.Request) string {
