--- a/review/stand2/bench.go
+++ b/review/stand2/bench.go
@@ -207,6 +207,8 @@
 type route struct {
 	name, host, prefix, kind, service string
 	timeoutMS, objectiveMS, priority  int
+	// weights splits the requests over several services, instead of service.
+	weights map[string]float64
 }
 
 // publish writes the next version of the configuration.
@@ -217,10 +219,20 @@
 	b.mu.Unlock()
 	routeTable, serviceTable := map[string]any{}, map[string]any{}
 	for _, r := range routes {
-		routeTable[r.name] = map[string]any{
+		entry := map[string]any{
 			"host": r.host, "prefix": r.prefix, "type": r.kind, "timeout_ms": r.timeoutMS, "target_latency_ms": r.objectiveMS,
-			"priority": r.priority, "service": r.service, "max_attempts": 2,
+			"priority": r.priority, "max_attempts": 2,
 		}
+		if len(r.weights) == 0 {
+			entry["service"] = r.service
+		} else {
+			var parts []map[string]any
+			for service, weight := range r.weights {
+				parts = append(parts, map[string]any{"service": service, "weight": weight})
+			}
+			entry["weighted_services"] = parts
+		}
+		routeTable[r.name] = entry
 	}
 	for _, name := range services {
 		serviceTable[name] = map[string]any{"health_path": "/health", "max_conns": 130, "protocol": "h1", "tls": false}
--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -235,3 +235,80 @@
 	fmt.Println(text)
 	return late > 0
 }
+
+// fractionalWeights publishes a version that splits a route by weights that are no whole
+// numbers, moves another route to another service and adds a third one.
+func fractionalWeights(b *bench) (bool, error) {
+	const (
+		configApply = 2 * time.Second
+		deadline    = 2500 * time.Millisecond
+	)
+	lookup := route{name: "r-lookup", host: "units.example", prefix: "/units/", kind: "idempotent", service: "katalog", timeoutMS: 2500, objectiveMS: 400, priority: 2}
+	book := route{name: "r-book", host: "book.example", prefix: "/bookings/", kind: "non_idempotent", service: "katalog", timeoutMS: 3000, objectiveMS: 500, priority: 1}
+	added := route{name: "r-price", host: "price.example", prefix: "/prices/", kind: "idempotent", service: "pemesanan", timeoutMS: 2500, objectiveMS: 400, priority: 2}
+	services := []string{"katalog", "pemesanan"}
+	b.publish([]route{lookup, book}, services...)
+	for i := range 6 {
+		if _, err := b.addMachine(services[i%2], []string{"jkt", "smg", "sby"}[i/2], workTime(50*time.Millisecond)); err != nil {
+			return false, err
+		}
+	}
+	if err := b.awaitServing(lookup, book); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second) // all machines are in touch
+	lookup.service, lookup.weights = "", map[string]float64{"katalog": 97, "pemesanan": 3}
+	if b.trouble {
+		lookup.weights = map[string]float64{"katalog": 97.5, "pemesanan": 2.5}
+	}
+	book.service = "pemesanan"
+	b.publish([]route{lookup, book, added}, services...)
+	acknowledged := time.Now()
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var sent []string // the IDs of the bookings that were sent later than configApply
+	notFound, count := 0, 0
+	for _, m := range b.machines {
+		c := b.client(m)
+		load(&group, 5, 12*time.Second, func() {
+			late := time.Since(acknowledged) > configApply
+			price := c.send(http.MethodGet, added.host, "/prices/1", "", deadline, time.Hour)
+			mu.Lock()
+			defer mu.Unlock()
+			if late {
+				count++
+			}
+			if late && price.status == http.StatusNotFound {
+				notFound++
+			}
+		})
+		load(&group, 5, 12*time.Second, func() {
+			late := time.Since(acknowledged) > configApply
+			a := c.send(http.MethodPost, book.host, "/bookings/new", "unit=7", deadline, time.Hour)
+			mu.Lock()
+			defer mu.Unlock()
+			if late {
+				sent = append(sent, a.id)
+				count++
+			}
+		})
+	}
+	group.Wait()
+	b.summary()
+	ofService := make(map[string]string)
+	for _, m := range b.machines {
+		ofService[m.worker.id] = m.worker.service
+	}
+	old := 0
+	b.mu.Lock()
+	for _, s := range b.runs {
+		if slices.Contains(sent, s.id) && ofService[s.worker] == "katalog" {
+			old++
+		}
+	}
+	b.mu.Unlock()
+	text := fmt.Sprintf("of %d requests that were sent later than %s after the acknowledgement, %d were refused with 404 though the route is there, and %d were run by the old service", count, configApply, notFound, old)
+	b.note("%s", text)
+	fmt.Println(text)
+	return notFound+old > 0, nil
+}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(*bench) (bool, error){
 	"removal-in-storm":    removalInStorm,
 	"crashing-request":    crashingRequest,
+	"fractional-weights":  fractionalWeights,
 	"queue-behind-leaver": queueBehindLeaver,
 }
 
