--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -21,6 +21,8 @@
 	"removal-in-storm":    removalInStorm,
 	"crashing-request":    crashingRequest,
 	"fractional-weights":  fractionalWeights,
+	"removal-while-cut":   removalWhileCut,
+	"late-report":         lateReport,
 	"queue-behind-leaver": queueBehindLeaver,
 }
 
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -34,6 +34,15 @@
 	items    map[string]item
 	history  []item
 	changed  chan struct{}
+	// cutAfter is how long a watch waits before it is cut; 0 means that none is.
+	cutAfter time.Duration
+}
+
+// cutWatches cuts each watch that has waited for a time from now on.
+func (s *store) cutWatches(after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutAfter = after
 }
 
 func newStore(host string) (*store, error) {
@@ -129,12 +138,21 @@
 	query := r.URL.Query()
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
-	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	limit, cut := time.Duration(wait)*time.Millisecond, false
+	s.mu.Lock()
+	if s.cutAfter > 0 && s.cutAfter < limit {
+		limit, cut = s.cutAfter, true
+	}
+	s.mu.Unlock()
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for over := false; ; {
 		s.mu.Lock()
 		events, at, changed := s.since(query.Get("prefix"), after), s.revision, s.changed
 		s.mu.Unlock()
+		if over && cut && len(events) == 0 {
+			panic(http.ErrAbortHandler) // closes the connection
+		}
 		if len(events) > 0 || over {
 			reply(w, struct {
 				Events []item `json:"events"`
