--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -112,57 +112,6 @@
 	return b.arrivedLate(acknowledged), nil
 }
 
-// lateReport lets a worker leave after the store has lost the answers of writes. A report
-// that the worker sent meanwhile is done only after it has left.
-func lateReport(b *bench) (bool, error) {
-	const (
-		lostFor      = 4500 * time.Millisecond
-		stableWindow = 3 * time.Second
-	)
-	book := route{name: "r-book", host: "book.example", prefix: "/bookings/", kind: "non_idempotent", service: "pemesanan", timeoutMS: 3000, objectiveMS: 500, priority: 1}
-	b.publish([]route{book}, "pemesanan")
-	for i := range 6 {
-		if _, err := b.addMachine("pemesanan", []string{"jkt", "smg", "sby"}[i%3], workTime(100*time.Millisecond)); err != nil {
-			return false, err
-		}
-	}
-	if err := b.awaitServing(book); err != nil {
-		return false, err
-	}
-	time.Sleep(4 * time.Second) // all machines are in touch
-	var group sync.WaitGroup
-	leaver := b.machines[0]
-	for _, m := range b.machines[1:] {
-		c := b.client(m)
-		load(&group, 10, 16*time.Second, func() {
-			c.send(http.MethodPost, book.host, "/bookings/new", "unit=7", 3*time.Second, time.Hour)
-		})
-	}
-	b.note("from now on, answers of the store are lost")
-	time.Sleep(lostFor - 200*time.Millisecond)
-	if b.trouble {
-		late := leaver.worker.report()
-		b.note("worker %s reports %v; the write is not answered and done 5.8 s later", leaver.worker.id, late["status"])
-		time.AfterFunc(5800*time.Millisecond, func() {
-			leaver.worker.overwrite(late)
-			b.note("the late write of worker %s is done", leaver.worker.id)
-		})
-	}
-	time.Sleep(200 * time.Millisecond)
-	b.note("answers of the store are no longer lost")
-	time.Sleep(stableWindow + 100*time.Millisecond)
-	leaver.worker.drain()
-	acknowledged := map[string]time.Time{leaver.worker.id: time.Now()}
-	b.note("worker %s reports that it leaves, acknowledged", leaver.worker.id)
-	time.Sleep(5 * time.Second)
-	b.note("worker %s exits, then its node gets SIGTERM", leaver.worker.id)
-	leaver.worker.exit()
-	_ = leaver.process.Process.Signal(syscall.SIGTERM) // has ended otherwise
-	group.Wait()
-	b.summary()
-	return b.arrivedLate(acknowledged), nil
-}
-
 // crashingRequest repeats a request that crashes each worker that begins to run it. Its path
 // is one that callers of another service ask for, too, whose requests do no harm.
 func crashingRequest(b *bench) (bool, error) {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -22,7 +22,6 @@
 	"crashing-request":    crashingRequest,
 	"fractional-weights":  fractionalWeights,
 	"removal-while-cut":   removalWhileCut,
-	"late-report":         lateReport,
 	"queue-behind-leaver": queueBehindLeaver,
 }
 
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -154,16 +154,11 @@
 	w.sequence++
 	if content := fmt.Sprint(w.state, w.born); content != w.written { // the entry changes when more than sequence changes
 		w.written = content
-		w.bench.store.put("servers/"+w.id, w.entry())
-	}
-}
-
-// entry returns what the worker writes. The caller must hold w.mu.
-func (w *worker) entry() map[string]any {
-	return map[string]any{
-		"address": w.address, "born": w.born,
-		"server_info": map[string]any{"service": w.service, "version": "v1", "zone": w.zone, "slots": slots},
-		"status":      map[string]any{"state": w.state, "sequence": w.sequence, "warmup_left_ms": 0},
+		w.bench.store.put("servers/"+w.id, map[string]any{
+			"address": w.address, "born": w.born,
+			"server_info": map[string]any{"service": w.service, "version": "v1", "zone": w.zone, "slots": slots},
+			"status":      map[string]any{"state": w.state, "sequence": w.sequence, "warmup_left_ms": 0},
+		})
 	}
 }
 
@@ -278,19 +273,3 @@
 	out.Header().Set(headerNotRun, "1")
 	out.WriteHeader(http.StatusServiceUnavailable)
 }
-
-// report returns a report that the store does not answer.
-func (w *worker) report() map[string]any {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.sequence++
-	return w.entry()
-}
-
-// overwrite does a write that the store did not answer.
-func (w *worker) overwrite(entry map[string]any) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.written = "" // the next report changes the entry
-	w.bench.store.put("servers/"+w.id, entry)
-}
