--- a/review/stand2/bench.go
+++ b/review/stand2/bench.go
@@ -100,7 +100,7 @@
 func (b *bench) note(format string, args ...any) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	fmt.Fprintf(b.record, "%8.3f %s\n", time.Since(b.start).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(b.record, "%6d ms %s\n", time.Since(b.start).Milliseconds(), fmt.Sprintf(format, args...))
 }
 
 // close ends all processes.
