Quarantine: requests of different callers have different fingerprints

Callers of another service use the same path.

Cause: the fingerprint left out the calling service. Each harmless run of the other caller cleared the crashes, dropped the report of the next one for 10 s, and did the same at the other nodes.

Ruled out: crashes that do not count as alone (no requests were abandoned in the scenario) and late reports between gates.

Change: the fingerprint covers the calling service, at the gate and in the decision on hedges. Stored responses are compared without it, as before.

--- a/internal/decision/quarantine/fingerprint.go
+++ b/internal/decision/quarantine/fingerprint.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"hash/fnv"
 	"strconv"
+
+	"github.com/galenalever/galenalever/internal/model"
 )
 
 // Fingerprint identifies a request across retries. It covers what a retry repeats
 // and leaves out what differs between attempts, such as request IDs, the host and
-// the caller's address. Two kinds of collision are accepted: requests that differ only
+// the client's address. It covers the calling service, since servers may treat the
+// requests of other callers differently. Two kinds of collision are accepted: requests that differ only
 // in bodies of equal length and digest share a fingerprint, so a harmless one may be
 // refused until the record expires; and two of 2^64 hashes may be equal by chance.
 type Fingerprint uint64
@@ -18,6 +21,8 @@
 
 // Attributes are the properties of a request that its retries share.
 type Attributes struct {
+	// Caller is the service of the instance where the request began.
+	Caller              model.ServiceName
 	Method, Path, Query string
 	// BodyLength is -1 if unknown. BodyDigest is a digest of the first part of the body,
 	// or 0 if there is none.
@@ -33,7 +38,11 @@
 	if a.BodyDigest != 0 {
 		body += "/" + strconv.FormatUint(uint64(a.BodyDigest), 16)
 	}
-	return Fingerprint(hashStrings(a.Method, a.Path, a.Query, body, a.IdempotencyKey))
+	parts := []string{a.Method, a.Path, a.Query, body, a.IdempotencyKey}
+	if a.Caller != "" {
+		parts = append(parts, string(a.Caller))
+	}
+	return Fingerprint(hashStrings(parts...))
 }
 
 // hashStrings hashes the parts with a separator after each, so that their
--- a/internal/service/gate/call.go
+++ b/internal/service/gate/call.go
@@ -61,7 +61,7 @@
 func describeCall(w http.ResponseWriter, r *http.Request, request hop.Request, arrived time.Time, oneWayDelay time.Duration) *call {
 	key := r.Header.Get(idempotencyHeader)
 	attributes := quarantine.Attributes{
-		Method: r.Method, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery,
+		Caller: request.Origin, Method: r.Method, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery,
 		BodyLength: r.ContentLength, BodyDigest: request.BodyDigest, IdempotencyKey: key,
 	}
 	c := &call{Request: request, w: w, r: r, arrived: arrived, oneWayDelay: oneWayDelay, fingerprint: attributes.Fingerprint()}
@@ -82,13 +82,15 @@
 }
 
 // setKeys sets the keys that identify repeats of the call. A stored response is
-// returned only to a repeat with the same credentials.
+// returned only to a repeat with the same credentials. The repeat may come from another
+// caller's instance.
 func (c *call) setKeys(attributes quarantine.Attributes, key string) {
 	c.keys = append(c.keys, dedupe.RequestKey(c.ID))
 	if key != "" {
 		c.idempotencyKey = key
 		c.keys = append(c.keys, dedupe.IdempotencyKey(c.Route, key))
 	}
+	attributes.Caller = ""
 	attributes.IdempotencyKey += "\n" + c.r.Header.Get("Authorization")
 	c.contentFingerprint = uint64(attributes.Fingerprint())
 }
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -211,7 +211,7 @@
 
 func (s *scenario) begin(d *datadriven.TestData, n *node) {
 	id, path, method, key, timeout := "", "/ok", "GET", "", "5s"
-	class, size, incarnation, sendNumber := "short", 0, 0, ""
+	class, size, incarnation, sendNumber, caller := "short", 0, 0, "", ""
 	d.ScanArgs(s.t, "id", &id)
 	d.MaybeScanArgs(s.t, "path", &path)
 	d.MaybeScanArgs(s.t, "method", &method)
@@ -221,6 +221,7 @@
 	d.MaybeScanArgs(s.t, "size", &size)
 	d.MaybeScanArgs(s.t, "incarnation", &incarnation)
 	d.MaybeScanArgs(s.t, "send", &sendNumber)
+	d.MaybeScanArgs(s.t, "caller", &caller)
 	left, err := time.ParseDuration(timeout)
 	must(err)
 	out := &send{name: id, result: make(chan string, 1)}
@@ -238,6 +239,7 @@
 	request := hop.Request{
 		ID: model.RequestID(id), Service: serviceName, Route: "book", Class: model.Class(class),
 		Idempotent: method == "GET", Attempt: 1, Timeout: left, Incarnation: model.Incarnation(incarnation),
+		Origin: model.ServiceName(caller),
 	}
 	if d.HasArg("sent-at") {
 		var at string
@@ -253,6 +255,7 @@
 		out.name = key
 	}
 	r.Header.Set("X-Test-Id", out.name)
+	r.Header.Set("X-Test-Caller", caller)
 	s.sends[id+sendNumber] = out
 	if d.HasArg("unread") {
 		response, err := s.client.Do(r)
--- a/internal/service/gate/server_test.go
+++ b/internal/service/gate/server_test.go
@@ -117,6 +117,11 @@
 	case "/kill":
 		b.crash()
 		return
+	case "/kill-for-katalog":
+		if r.Header.Get("X-Test-Caller") == "katalog" {
+			b.crash()
+			return
+		}
 	case "/drop":
 		conn, _, _ := http.NewResponseController(w).Hijack()
 		_ = conn.Close()
--- a/internal/service/ingress/hedge_latency_test.go
+++ b/internal/service/ingress/hedge_latency_test.go
@@ -13,6 +13,7 @@
 	"github.com/galenalever/galenalever/internal/decision/hedge"
 	"github.com/galenalever/galenalever/internal/decision/quarantine"
 	"github.com/galenalever/galenalever/internal/decision/retry"
+	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/service/forward"
 )
 
@@ -170,14 +171,17 @@
 // TestSuspectIsNotHedged guards against a request that crashes two servers at once, although
 // it is suspected: node and gate must compute the same fingerprint.
 func TestSuspectIsNotHedged(t *testing.T) {
-	m := newHedgeMesh(t, 20)
+	const caller = model.ServiceName("shop/front")
+	m := newHedgeMeshWith(t, forward.Config{HedgePercent: 20, Origin: caller})
 	m.learn(hedgedPath)
 	body, err := call.ReadBody(strings.NewReader("xxxxxxxxxx"), 10)
 	if err != nil {
 		t.Fatal(err)
 	}
 	// These are the attributes that the gate uses (service/gate, newCall).
-	f := quarantine.Attributes{Method: http.MethodPut, Path: hedgedPath, BodyLength: 10, BodyDigest: body.Digest()}.Fingerprint()
+	f := quarantine.Attributes{
+		Caller: caller, Method: http.MethodPut, Path: hedgedPath, BodyLength: 10, BodyDigest: body.Digest(),
+	}.Fingerprint()
 	now := m.fakeClock.Now()
 	table, _ := quarantine.Table{}.Add([]quarantine.Suspect{{
 		Fingerprint: f, Crashes: []quarantine.Crash{{Instance: "a", Time: now.UnixMilli()}}, Expires: now.Add(time.Hour),
