--- a/internal/service/gate/server_test.go
+++ b/internal/service/gate/server_test.go
@@ -117,6 +117,17 @@
 	case "/kill":
 		b.crash()
 		return
+	case "/kill-or-fail", "/kill-or-reject": // all but one server crash
+		if b.name != "b" {
+			b.crash()
+			return
+		}
+		status := http.StatusInternalServerError
+		if r.URL.Path == "/kill-or-reject" {
+			status = http.StatusRequestEntityTooLarge
+		}
+		w.WriteHeader(status)
+		return
 	case "/kill-for-katalog":
 		if r.Header.Get("X-Test-Caller") == "katalog" {
 			b.crash()
