Uploads: leave the body to the copy in progress when a server responds early

Cause: before http.Server writes a header it discards up to 256 KB of the request's body, unless full duplex is enabled. The transport that copies the body to the next node or to the server goes on reading the same body meanwhile.

Ruled out: the transports; with stand-ins that check each byte the fault shows with the callers' listener or the gate's alone in the path.

Change: the callers' listener enables full duplex for streamed bodies, the gate for calls with a body. A response that begins before the upload is in closes the caller's connection.

--- a/internal/call/body.go
+++ b/internal/call/body.go
@@ -118,6 +118,11 @@
 	return nil
 }
 
+// Ended reports whether the whole body has been read from the caller.
+func (b *Body) Ended() bool {
+	return b.stream == nil || b.reader != nil && b.reader.ended.Load()
+}
+
 // IsTooLarge reports whether err means that a body exceeds its size limit.
 func IsTooLarge(err error) bool {
 	var tooLarge *http.MaxBytesError
@@ -152,6 +157,8 @@
 	stream io.Reader
 	state  atomic.Int32
 	err    atomic.Pointer[error]
+	// ended is true once the stream has been read to its end.
+	ended atomic.Bool
 }
 
 // Read implements io.Reader.
@@ -160,7 +167,10 @@
 		return 0, errDetached
 	}
 	n, err := s.stream.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
+		s.ended.Store(true)
+	case err != nil:
 		s.err.Store(&err)
 	}
 	return n, err
--- a/internal/service/gate/body.go
+++ b/internal/service/gate/body.go
@@ -95,6 +95,15 @@
 	return r
 }
 
+// leaveBodyToServer prevents http.Server from reading the rest of the body itself before it
+// writes the response's header: the backend server may respond early and still receive the
+// body. The writer supports it unless it is that of a test.
+func (c *call) leaveBodyToServer() {
+	if c.r.ContentLength != 0 {
+		_ = http.NewResponseController(c.w).EnableFullDuplex()
+	}
+}
+
 func (c *call) expectsContinue() bool {
 	return strings.EqualFold(c.r.Header.Get("Expect"), "100-continue")
 }
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -43,6 +43,7 @@
 		s.endNotRun(c, notRun(model.ReasonEvacuated))
 		return
 	}
+	c.leaveBodyToServer()
 	c.started = s.clock.Now()
 	s.markSent(c)
 	out, target := newServerRequest(ctx, c.r), s.target(c)
--- a/internal/service/ingress/serve.go
+++ b/internal/service/ingress/serve.go
@@ -62,10 +62,14 @@
 	request := newRequest(r, id, match, body, deadline)
 	urgency := s.urgency(caller, match.Route, begin, deadline)
 	request.SoftDeadline, request.FinalAttempt = begin.Add(urgency.SoftTimeout), urgency.FinalAttempt
+	leaveBodyToForwarder(w, body)
 	result := s.forwarder.Forward(ctx, request)
 	s.metrics.countAttempts(match.Route, result.Attempts)
 	s.reportCall(r, request, result, begin)
 	entry.attempts, entry.deadline = result.Attempts, deadline
+	if !body.Ended() {
+		w.Header().Set("Connection", "close") // the rest of the body is not awaited
+	}
 	if result.Response == nil {
 		s.refuse(w, entry, refusalOf(result, body))
 		return
@@ -237,6 +241,15 @@
 	}
 }
 
+// leaveBodyToForwarder prevents http.Server from reading the rest of a streamed body itself
+// before it writes the response's header: the forwarder may still be copying the body to a
+// server that has responded early. The writer supports it unless it is that of a test.
+func leaveBodyToForwarder(w http.ResponseWriter, body *call.Body) {
+	if body.Streamed() {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
+}
+
 // deadlineReader reads a caller's body. Each read must end within bodyIdleTimeout
 // and before the deadline, which is in system time as the deadlines of connections are.
 type deadlineReader struct {
