Forward, gate: a response whose status is not final is no response

Callers saw: when a node sends a response with a status such as 000, 099 or 101, the caller's connection is closed without a response, also for requests that may be repeated.

Cause: net/http accepts any three digits as a status, and its server panics when a handler writes one below 100. The panic ended the caller's connection, or that between two nodes if a server sent the status.

Ruled out: statuses of other than three digits and interim ones, which net/http does not return as final responses.

Change: both sides treat such a response as broken: the outcome is unknown, the connection is closed, and idempotent requests go to another server.

--- a/internal/decision/responsematch/responsematch.go
+++ b/internal/decision/responsematch/responsematch.go
@@ -25,6 +25,8 @@
 	NotRun bool
 	// SwitchesProtocol is true if what follows on the connection is another protocol.
 	SwitchesProtocol bool
+	// NotFinal is true if its status is not one of a final response, such as 000.
+	NotFinal bool
 	// UnclearLength is true if its length was given, but in a way that was not read.
 	UnclearLength bool
 	// Spliced is true if its head contains the beginning of another response.
@@ -64,11 +66,11 @@
 // response that names another request is not. Neither is a refusal without an ID on a
 // connection that was used before, or a second refusal of the same request: both may be
 // copies of an earlier one, while the server runs the request. Nor is a spliced response,
-// whose status and ID may come from two responses, an incomplete one, or one
-// whose body may end elsewhere.
+// whose status and ID may come from two responses, an incomplete one, one
+// whose body may end elsewhere, or one whose status is not final.
 func (e Exchange) Accept(request model.RequestID, r Response) bool {
 	switch {
-	case r.SwitchesProtocol, r.UnclearLength:
+	case r.SwitchesProtocol, r.NotFinal, r.UnclearLength:
 		return false
 	case r.WithoutID && !r.NotRun: // the server's protocol has no IDs
 		return true
--- a/internal/decision/responsematch/responsematch_test.go
+++ b/internal/decision/responsematch/responsematch_test.go
@@ -31,6 +31,8 @@
 		"result without an ID":                 {{"a", answer(""), false}},
 		"protocol without IDs":                 {{"a", responsematch.Response{WithoutID: true}, true}, {"b", responsematch.Response{WithoutID: true}, true}},
 		"switch of protocols":                  {{"a", responsematch.Response{ID: "a", SwitchesProtocol: true}, false}},
+		"status that is not final":             {{"a", responsematch.Response{ID: "a", NotFinal: true}, false}, {"b", answer("b"), true}},
+		"not final, without IDs":               {{"a", responsematch.Response{WithoutID: true, NotFinal: true}, false}},
 		"unclear length":                       {{"a", responsematch.Response{ID: "a", UnclearLength: true}, false}},
 		"unclear length without IDs":           {{"a", responsematch.Response{WithoutID: true, UnclearLength: true}, false}},
 		"head of two responses":                {{"a", responsematch.Response{ID: "a", Spliced: true}, false}},
--- a/internal/service/forward/attempt.go
+++ b/internal/service/forward/attempt.go
@@ -45,9 +45,9 @@
 		return withoutResponse(classifyFailure(ctx, a.request.Body, observer.abort()), elapsed)
 	}
 	head, ok := hop.DecodeResponse(response.Header)
-	if !ok || head.ID != a.request.ID || !delimited(response) {
-		// The response is not from a gate, belongs to another request or has no
-		// detectable end. The request may have run: the outcome is unknown.
+	if !ok || head.ID != a.request.ID || response.StatusCode < http.StatusOK || !delimited(response) {
+		// The response is not from a gate, belongs to another request, is not final or has
+		// no detectable end. The request may have run: the outcome is unknown.
 		observer.abort()
 		_ = response.Body.Close()
 		return withoutResponse(retry.Result{Reason: model.ReasonConnectionLost}, elapsed)
--- a/internal/service/gate/match.go
+++ b/internal/service/gate/match.go
@@ -13,6 +13,7 @@
 	return responsematch.Response{
 		ID: result.ID, WithoutID: result.WithoutID, NotRun: result.NotRun,
 		SwitchesProtocol: r.StatusCode == http.StatusSwitchingProtocols,
+		NotFinal:         r.StatusCode < http.StatusOK, // the transport handles interim responses
 		UnclearLength:    hasUnclearLength(r),
 		Spliced:          isSpliced(r), Incomplete: result.Incomplete,
 	}
