Ingress: an upload that becomes too large does not touch the response in progress

Callers saw: none reported it. An upload without a declared length that exceeds the limit of its route while the response to it is being written can end the process: two goroutines use the response's header.

Cause: http.MaxBytesReader changes the header of the writer that it is given, and for a streamed body it runs in the goroutine of the transport.

Change: the reader gets no writer; a refusal for the size closes the connection itself, as the writer did.

Measured: TestUploadBecomesTooLargeAfterResponse with -race, before: a data race on the header; after: none, and the package passes with -race.

--- a/internal/service/ingress/serve.go
+++ b/internal/service/ingress/serve.go
@@ -216,7 +216,8 @@
 	var source io.Reader = r.Body
 	if r.ContentLength != 0 {
 		if rt.MaxBody > 0 {
-			source = http.MaxBytesReader(w, r.Body, rt.MaxBody)
+			// Without the writer, which it would use while the response is being written.
+			source = http.MaxBytesReader(nil, r.Body, rt.MaxBody)
 		}
 		reader := &deadlineReader{
 			Reader: source, conn: http.NewResponseController(w), nodeEnded: s.ended,
@@ -231,6 +232,7 @@
 	case err == nil:
 		return body, nil
 	case call.IsTooLarge(err):
+		w.Header().Set("Connection", "close") // the rest of the body is not awaited
 		return nil, notRun(http.StatusRequestEntityTooLarge, model.ReasonTooLarge)
 	case errors.Is(err, occupancy.ErrFull):
 		return nil, notRun(http.StatusServiceUnavailable, reasonFull)
