Removals: complete listings do not hold back the same removals anew

Cause: a reader lists all keys then, and each complete listing contains the held removals again. The hold took each for a new batch and began another 1.2 s.

Change: a held removal keeps the time at which it passes and no longer counts towards a batch.

--- a/internal/decision/platformread/removal_hold.go
+++ b/internal/decision/platformread/removal_hold.go
@@ -48,7 +48,8 @@
 // function known returns the previous record of an instance, and knownCount is the
 // number of known servers. Removals of servers that were leaving pass at once,
 // since such a server will not write its entry again. A later batch does not change when
-// those that are held already pass.
+// those that are held already pass, even if it contains them again, as each complete listing
+// does.
 func (h *RemovalHold) Filter(received []model.Member, known func(model.InstanceID) (model.Member, bool), knownCount int, now time.Time) []model.Member {
 	removed := func(m model.Member) bool {
 		before, ok := known(m.ID)
@@ -56,7 +57,7 @@
 	}
 	removals := 0
 	for _, m := range received {
-		if removed(m) {
+		if _, again := h.held[m.ID]; removed(m) && !again {
 			removals++
 		}
 	}
@@ -65,12 +66,16 @@
 	}
 	out := make([]model.Member, 0, len(received))
 	for _, m := range received {
+		due := h.until
+		if earlier, again := h.held[m.ID]; again {
+			due = earlier.due
+		}
 		delete(h.held, m.ID) // the received record is newer
-		if removed(m) && now.Before(h.until) {
+		if removed(m) && now.Before(due) {
 			if h.held == nil {
 				h.held = make(map[model.InstanceID]heldRemoval)
 			}
-			h.held[m.ID] = heldRemoval{record: m, due: h.until}
+			h.held[m.ID] = heldRemoval{record: m, due: due}
 			continue
 		}
 		out = append(out, m)
--- a/internal/decision/platformread/removal_hold_test.go
+++ b/internal/decision/platformread/removal_hold_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/galenalever/galenalever/internal/decision/platformread"
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -97,3 +99,47 @@
 		t.Errorf("%d removals are due although the platform failed since", len(due))
 	}
 }
+
+// TestRepeatedListingDoesNotHoldRemovalsLonger guards against removed servers that get
+// requests for as long as complete listings follow each other, each of which lacks them.
+func TestRepeatedListingDoesNotHoldRemovalsLonger(t *testing.T) {
+	const massGrace = 1200 * time.Millisecond
+	names := []model.InstanceID{"a", "b", "c", "d", "e", "f", "g", "h"}
+	rapid.Check(t, func(t *rapid.T) {
+		var hold platformread.RemovalHold
+		known, seen := knownServers{}, map[model.InstanceID]time.Time{}
+		for _, id := range names {
+			known[id] = model.ListingLive
+		}
+		now := time.Unix(1000, 0)
+		pass := func(passed []model.Member) {
+			for _, m := range passed {
+				if m.Listed == model.ListingRemoved {
+					delete(known, m.ID)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "listings") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
+			for range rapid.SampledFrom([]int{0, 0, 0, 1, 3}).Draw(t, "removed") {
+				id := rapid.SampledFrom(names).Draw(t, "id")
+				if _, again := seen[id]; !again {
+					seen[id] = now
+				}
+			}
+			var listing []model.Member
+			for _, id := range names {
+				if _, still := known[id]; still && !seen[id].IsZero() {
+					listing = append(listing, removal(string(id)))
+				}
+			}
+			pass(hold.Filter(listing, known.get, len(known), now))
+			pass(hold.Due(now))
+			for id, at := range seen {
+				if _, still := known[id]; still && now.Sub(at) >= massGrace {
+					t.Fatalf("%s is still held %s after its removal was read", id, now.Sub(at))
+				}
+			}
+		}
+	})
+}
