Gate: refuse queued calls when the platform lists the server as leaving

Cause: the gate checked the listing only when a call arrived.

Change: the change of the listing refuses what is queued, as not run. Listing and evacuation are checked again under the lock under which a call gets its slot, and before it is sent.

--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -88,7 +88,7 @@
 	ended    context.Context
 	endCalls context.CancelFunc
 	// withdrawn is true while the platform lists this node's backend server as
-	// leaving; the gate itself stays. listedSlots is the number of slots in the
+	// leaving; the gate itself stays. It is written while mu is held. listedSlots is the number of slots in the
 	// platform's listing, 0 if it names none.
 	withdrawn   atomic.Bool
 	listedSlots atomic.Int64
--- a/internal/service/gate/listing.go
+++ b/internal/service/gate/listing.go
@@ -29,15 +29,26 @@
 	}
 	s.listedID.Store(newest.ID)
 	s.applyListedWarmup(newest)
-	withdrawn := listed && !present
-	if s.withdrawn.Swap(withdrawn) != withdrawn {
-		s.log.Info("platform listing of the backend server changed", "withdrawn", withdrawn)
-	}
+	s.applyWithdrawal(listed && !present)
 	if slots > 0 && s.listedSlots.Swap(int64(slots)) != int64(slots) {
 		s.configure()
 	}
 }
 
+// applyWithdrawal refuses queued requests when the platform begins to list the backend server
+// as leaving. Running requests go on.
+func (s *Service) applyWithdrawal(withdrawn bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.withdrawn.Swap(withdrawn) == withdrawn {
+		return
+	}
+	s.log.Info("platform listing of the backend server changed", "withdrawn", withdrawn)
+	if withdrawn {
+		s.deliver(s.admission.RefuseQueued(model.ReasonLeaving))
+	}
+}
+
 // target returns the instance that a call is for. The platform may list a newer
 // incarnation of the backend server than the one that the caller's node chose.
 func (s *Service) target(c *call) model.InstanceID {
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -38,9 +38,9 @@
 		s.endNotRun(c, notRun(model.ReasonSuspect))
 		return
 	}
-	if s.evacuation.active.Load() { // the evacuation began after the call got its slot
+	if r := s.checkServerListing(); r != nil { // the listing changed after the call got its slot
 		s.dropReplicas(c)
-		s.endNotRun(c, notRun(model.ReasonEvacuated))
+		s.endNotRun(c, r)
 		return
 	}
 	c.leaveBodyToServer()
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -150,6 +150,8 @@
 	case "leave":
 		must(n.kernel.Loop().Post(t.Context(), control.PresenceChanged{Presence: model.PresenceLeaving}))
 		waitFor(func() bool { return n.gate.Stats().Leaving })
+	case "withdraw": // the platform lists the server as leaving
+		n.withdraw(s.members, name)
 	case "evacuate": // evacuates exactly one failure domain
 		s.cmdEvacuate(d, n)
 	case "ready":
--- a/internal/service/gate/serve.go
+++ b/internal/service/gate/serve.go
@@ -85,12 +85,26 @@
 	}
 }
 
-func (s *Service) checkAvailability(c *call) *refusal {
+// checkServerListing refuses new requests while the platform lists the backend server as
+// leaving or its failure domain is evacuated.
+func (s *Service) checkServerListing() *refusal {
 	switch {
-	case s.leaving.Load() || s.withdrawn.Load():
+	case s.withdrawn.Load():
 		return notRun(model.ReasonLeaving)
 	case s.evacuation.active.Load():
 		return notRun(model.ReasonEvacuated)
+	}
+	return nil
+}
+
+func (s *Service) checkAvailability(c *call) *refusal {
+	if s.leaving.Load() {
+		return notRun(model.ReasonLeaving)
+	}
+	if refused := s.checkServerListing(); refused != nil {
+		return refused
+	}
+	switch {
 	case s.service() == nil || !s.deps.suspects.Prepared():
 		return notRun(model.ReasonNotReady)
 	case !s.deps.fresh():
--- a/internal/service/gate/slots.go
+++ b/internal/service/gate/slots.go
@@ -38,6 +38,9 @@
 	if refused != nil {
 		return beginResult{refused: refused}
 	}
+	if refused = s.checkServerListing(); refused != nil { // it may have changed since the check
+		return beginResult{refused: refused}
+	}
 	if refused = s.checkCalls(c); refused != nil {
 		return beginResult{refused: refused}
 	}
