Quarantine: the caller counts only where servers are told of it

Cause: on that interface servers are not told who calls, so requests that differ only in the caller are the same to them.

Change: frontend.Headers says whether servers are told (StatesOrigin); gate and hedging leave the caller out otherwise. The platform's protocol tells them.

Measured: the tests of crashing requests in internal/standin/chaos pass with -race, one run; scenario crashing_request_of_one_caller covers both protocols.

--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -70,7 +70,7 @@
 		routing.New(),
 		balancer.New(balancer.Config{Self: self, Policy: balance.Policy(d.Balancer), Warmup: bounds}),
 		forward.New(forward.Config{
-			Origin: self.Service, Limits: env.RetryLimits, Time: events.Clock(), Sender: uint64(rand.Uint32()),
+			Origin: self.Service, Headers: env.Headers, Limits: env.RetryLimits, Time: events.Clock(), Sender: uint64(rand.Uint32()),
 			NoThrottle: d.Throttle == settings.ThrottleOff, HedgePercent: d.HedgePercent,
 		}),
 		backend.New(backend.Config{
--- a/internal/decision/quarantine/fingerprint.go
+++ b/internal/decision/quarantine/fingerprint.go
@@ -10,8 +10,7 @@
 
 // Fingerprint identifies a request across retries. It covers what a retry repeats
 // and leaves out what differs between attempts, such as request IDs, the host and
-// the client's address. It covers the calling service, since servers may treat the
-// requests of other callers differently. Two kinds of collision are accepted: requests that differ only
+// the client's address. Two kinds of collision are accepted: requests that differ only
 // in bodies of equal length and digest share a fingerprint, so a harmless one may be
 // refused until the record expires; and two of 2^64 hashes may be equal by chance.
 type Fingerprint uint64
@@ -21,7 +20,9 @@
 
 // Attributes are the properties of a request that its retries share.
 type Attributes struct {
-	// Caller is the service of the instance where the request began.
+	// Caller is the service of the instance where the request began, or empty if servers
+	// are not told. Requests of different callers differ, since a server may crash at
+	// those of one and answer those of another.
 	Caller              model.ServiceName
 	Method, Path, Query string
 	// BodyLength is -1 if unknown. BodyDigest is a digest of the first part of the body,
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -21,6 +21,9 @@
 	// ToServer sets the headers that a server expects, and replaces any that the
 	// caller sent under the same names.
 	ToServer(h http.Header, r ServerRequest)
+	// StatesOrigin reports whether ToServer states the service where a request began, so that
+	// servers may treat equal requests of other services differently.
+	StatesOrigin() bool
 	// FromServer reads the metadata of a server's response.
 	FromServer(status int, h http.Header) ServerResponse
 	// FromHealth reads how much longer the server is cold from its response to a health
--- a/internal/frontend/native.go
+++ b/internal/frontend/native.go
@@ -59,6 +59,9 @@
 // ToServer implements Headers.
 func (Native) ToServer(http.Header, ServerRequest) {}
 
+// StatesOrigin implements Headers.
+func (Native) StatesOrigin() bool { return false }
+
 // FromServer implements Headers.
 func (Native) FromServer(int, http.Header) ServerResponse { return ServerResponse{WithoutID: true} }
 
--- a/internal/service/forward/hedging.go
+++ b/internal/service/forward/hedging.go
@@ -29,7 +29,7 @@
 type hedging struct {
 	percent  int
 	window   time.Duration
-	origin   model.ServiceName // the calling service
+	caller   model.ServiceName // as in quarantine.Attributes
 	scope    tally.Scope
 	suspects *kernel.Snapshot[quarantine.Table] // nil if the node has none
 	services sync.Map                           // model.ServiceName -> *serviceHedging
@@ -59,7 +59,10 @@
 
 func newHedging(config Config, c *kernel.Context) *hedging {
 	start := c.Clock.Now()
-	h := &hedging{percent: config.HedgePercent, window: config.Limits.Window, origin: config.Origin, scope: tally.NoopScope}
+	h := &hedging{percent: config.HedgePercent, window: config.Limits.Window, scope: tally.NoopScope}
+	if config.Headers.StatesOrigin() {
+		h.caller = config.Origin
+	}
 	if h.window <= 0 {
 		h.window = defaultHedgeWindow
 	}
@@ -261,7 +264,7 @@
 	}
 	table := h.suspects.Load()
 	return table.Len() > 0 && table.IsSuspect(quarantine.Attributes{
-		Caller: h.origin, Method: q.Method, Path: q.URL.EscapedPath(), Query: q.URL.RawQuery,
+		Caller: h.caller, Method: q.Method, Path: q.URL.EscapedPath(), Query: q.URL.RawQuery,
 		BodyLength: q.Body.Length(), BodyDigest: q.Body.Digest(), IdempotencyKey: q.IdempotencyKey,
 	}.Fingerprint())
 }
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -18,6 +18,7 @@
 	"github.com/galenalever/galenalever/internal/decision/balance"
 	"github.com/galenalever/galenalever/internal/decision/retry"
 	"github.com/galenalever/galenalever/internal/decision/route"
+	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/timeline"
@@ -37,6 +38,8 @@
 type Config struct {
 	// Origin is the service of this node's instance. It is sent with every request.
 	Origin model.ServiceName
+	// Headers is the header protocol of the backend servers; nil means frontend.Native.
+	Headers frontend.Headers
 	// Limits bound the retries over all nodes. If Window is zero, only the budgets
 	// of the routes bound them.
 	Limits retry.Limits
@@ -97,6 +100,9 @@
 	if config.Random == nil {
 		config.Random = globalRandom{}
 	}
+	if config.Headers == nil {
+		config.Headers = frontend.Native{}
+	}
 	return &Service{config: config, transports: newTransports()}
 }
 
--- a/internal/service/gate/call.go
+++ b/internal/service/gate/call.go
@@ -55,15 +55,20 @@
 
 func (s *Service) newCall(w http.ResponseWriter, r *http.Request, request hop.Request) *call {
 	arrived := s.clock.Now()
-	return describeCall(w, r, request, arrived, s.oneWayDelay(request, arrived))
+	return s.describeCall(w, r, request, arrived, s.oneWayDelay(request, arrived))
 }
 
-func describeCall(w http.ResponseWriter, r *http.Request, request hop.Request, arrived time.Time, oneWayDelay time.Duration) *call {
+func (s *Service) describeCall(
+	w http.ResponseWriter, r *http.Request, request hop.Request, arrived time.Time, oneWayDelay time.Duration,
+) *call {
 	key := r.Header.Get(idempotencyHeader)
 	attributes := quarantine.Attributes{
-		Caller: request.Origin, Method: r.Method, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery,
+		Method: r.Method, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery,
 		BodyLength: r.ContentLength, BodyDigest: request.BodyDigest, IdempotencyKey: key,
 	}
+	if s.headers.StatesOrigin() {
+		attributes.Caller = request.Origin
+	}
 	c := &call{Request: request, w: w, r: r, arrived: arrived, oneWayDelay: oneWayDelay, fingerprint: attributes.Fingerprint()}
 	c.deadline = c.arrived.Add(request.Timeout - c.oneWayDelay)
 	if !request.Idempotent {
--- a/internal/service/gate/forecast.go
+++ b/internal/service/gate/forecast.go
@@ -31,7 +31,7 @@
 	if address != s.self.Addresses.Traffic {
 		return status.WhereForecast{}, false
 	}
-	c := describeCall(nil, r, request, s.clock.Now(), 0)
+	c := s.describeCall(nil, r, request, s.clock.Now(), 0)
 	refused := s.checkTarget(c)
 	if refused != nil {
 		c.keys = nil // the memory is not asked
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/galenalever/galenalever/internal/control"
 	"github.com/galenalever/galenalever/internal/decision/drain"
+	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/service/gate"
@@ -42,6 +43,15 @@
 	log []string
 }
 
+// originHeaders is a header protocol whose servers are told the calling service.
+type originHeaders struct{ frontend.Native }
+
+func (originHeaders) StatesOrigin() bool { return true }
+
+func (originHeaders) ToServer(h http.Header, r frontend.ServerRequest) {
+	h.Set("X-Test-Caller", string(r.Origin))
+}
+
 // send is a request in progress.
 type send struct {
 	// name identifies the request in the ledger.
@@ -97,6 +107,10 @@
 			service := &model.Service{Name: serviceName, Slots: 2, LongSlots: 1, Queue: 4}
 			s.nodes[arg.Key] = startNode(arg.Key, s.clock, s.ledger, s.members, service)
 		}
+	case "state-callers": // servers of the nodes that start next are told the calling service
+		s.members.headers = originHeaders{}
+	case "no-callers": // they are not told
+		s.members.headers = nil
 	case "send":
 		s.begin(d, n)
 		return s.finish(d)
@@ -257,7 +271,6 @@
 		out.name = key
 	}
 	r.Header.Set("X-Test-Id", out.name)
-	r.Header.Set("X-Test-Caller", caller)
 	s.sends[id+sendNumber] = out
 	if d.HasArg("unread") {
 		response, err := s.client.Do(r)
--- a/internal/service/ingress/hedge_latency_test.go
+++ b/internal/service/ingress/hedge_latency_test.go
@@ -13,6 +13,7 @@
 	"github.com/galenalever/galenalever/internal/decision/hedge"
 	"github.com/galenalever/galenalever/internal/decision/quarantine"
 	"github.com/galenalever/galenalever/internal/decision/retry"
+	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/service/forward"
 )
@@ -168,11 +169,16 @@
 	}
 }
 
+// originHeaders is a header protocol whose servers are told the calling service.
+type originHeaders struct{ frontend.Native }
+
+func (originHeaders) StatesOrigin() bool { return true }
+
 // TestSuspectIsNotHedged guards against a request that crashes two servers at once, although
 // it is suspected: node and gate must compute the same fingerprint.
 func TestSuspectIsNotHedged(t *testing.T) {
 	const caller = model.ServiceName("shop/front")
-	m := newHedgeMeshWith(t, forward.Config{HedgePercent: 20, Origin: caller})
+	m := newHedgeMeshWith(t, forward.Config{HedgePercent: 20, Origin: caller, Headers: originHeaders{}})
 	m.learn(hedgedPath)
 	body, err := call.ReadBody(strings.NewReader("xxxxxxxxxx"), 10)
 	if err != nil {
