Gate: the meaning of a status stands with the encoding

Decisions know no HTTP (docs/DEVELOPERS.md). Whether a response shows that a request ran to its end is read from its status, so it moves from decision/quarantine to the gate.

--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -88,8 +88,8 @@
 	ended    context.Context
 	endCalls context.CancelFunc
 	// withdrawn is true while the platform lists this node's backend server as
-	// leaving; the gate itself stays. It is written while mu is held. listedSlots is the number of slots in the
-	// platform's listing, 0 if it names none.
+	// leaving; the gate itself stays. It is written while mu is held. listedSlots is the
+	// number of slots in the platform's listing, 0 if it names none.
 	withdrawn   atomic.Bool
 	listedSlots atomic.Int64
 	// listedID is the ID under which the platform lists the backend server. goneID
--- a/internal/service/gate/relay.go
+++ b/internal/service/gate/relay.go
@@ -13,7 +13,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/galenalever/galenalever/internal/decision/dedupe"
-	"github.com/galenalever/galenalever/internal/decision/quarantine"
 	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
 )
@@ -53,7 +52,7 @@
 	s.endAnswered(c, r.answer(response))
 	s.logCall(c, model.OutcomeAnswered, "", response.StatusCode, 0)
 	s.counters.countAnswered()
-	if c.fingerprintCoversBody() && quarantine.RanToEnd(response.StatusCode) {
+	if c.fingerprintCoversBody() && ranToEnd(response.StatusCode) {
 		s.deps.suspects.Completed(c.fingerprint)
 	}
 	if err != nil {
