--- a/internal/call/body_test.go
+++ b/internal/call/body_test.go
@@ -34,3 +34,25 @@
 		}
 	}
 }
+
+// TestEndedAfterLastByte guards against a connection that is kept although a part of the body
+// on it has not been read.
+func TestEndedAfterLastByte(t *testing.T) {
+	small, err := ReadBody(strings.NewReader("small"), 5)
+	if err != nil || !small.Ended() {
+		t.Errorf("small body: ended %t, %v", small.Ended(), err)
+	}
+	for _, length := range []int64{3 * BufferLimit, -1} {
+		body, err := ReadBody(strings.NewReader(strings.Repeat("x", 3*BufferLimit)), length)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reader := body.Open()
+		if _, err := io.CopyN(io.Discard, reader, 2*BufferLimit); err != nil || body.Ended() {
+			t.Errorf("length %d, a part read: ended %t, %v", length, body.Ended(), err)
+		}
+		if _, err := io.Copy(io.Discard, reader); err != nil || !body.Ended() {
+			t.Errorf("length %d, all read: ended %t, %v", length, body.Ended(), err)
+		}
+	}
+}
