--- a/internal/service/gate/evacuation_test.go
+++ b/internal/service/gate/evacuation_test.go
@@ -49,16 +49,5 @@
 	s.members.beforeDecide = func(n *node) { n.evacuate(t, "jkt") }
 	n := startNode("a", s.clock, s.ledger, s.members, &model.Service{Name: serviceName, Slots: 2, Queue: 4})
 	s.nodes["a"] = n
-	response, err := n.send(t, "GET", "r1")
-	must(err)
-	defer response.Body.Close()
-	if outcome, _, _ := readOutcome(t, response); outcome != model.OutcomeNotRun {
-		t.Errorf("outcome %s", outcome)
-	}
-	if refused := n.gate.Stats().Refused[model.ReasonEvacuated]; refused != 1 {
-		t.Errorf("%d requests were refused as evacuated", refused)
-	}
-	if ran := s.ledger.String(); ran != "nothing ran\n" {
-		t.Error(ran)
-	}
+	s.checkRefusedOnce(t, n, model.ReasonEvacuated)
 }
--- a/internal/service/gate/queued_suspect_test.go
+++ b/internal/service/gate/queued_suspect_test.go
@@ -26,16 +26,5 @@
 	s.members.add(designated.Member(model.PresenceReady))
 	n := startNode("a", s.clock, s.ledger, s.members, &model.Service{Name: serviceName, Slots: 2, Queue: 4})
 	s.nodes["a"] = n
-	response, err := n.send(t, "GET", "r1")
-	must(err)
-	defer response.Body.Close()
-	if outcome, _, _ := readOutcome(t, response); outcome != model.OutcomeNotRun {
-		t.Errorf("outcome %s", outcome)
-	}
-	if refused := n.gate.Stats().Refused[model.ReasonSuspect]; refused != 1 {
-		t.Errorf("%d requests were refused as suspects", refused)
-	}
-	if ran := s.ledger.String(); ran != "nothing ran\n" {
-		t.Error(ran)
-	}
+	s.checkRefusedOnce(t, n, model.ReasonSuspect)
 }
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -69,6 +69,24 @@
 	}
 }
 
+// checkRefusedOnce sends a request to the gate and checks that it is refused as not run, for the
+// reason, and has not reached a server.
+func (s *scenario) checkRefusedOnce(t *testing.T, n *node, reason model.Reason) {
+	t.Helper()
+	response, err := n.send(t, "GET", "r1")
+	must(err)
+	defer response.Body.Close()
+	if outcome, _, _ := readOutcome(t, response); outcome != model.OutcomeNotRun {
+		t.Errorf("outcome %s", outcome)
+	}
+	if refused := n.gate.Stats().Refused[reason]; refused != 1 {
+		t.Errorf("%d requests were refused as %s", refused, reason)
+	}
+	if ran := s.ledger.String(); ran != "nothing ran\n" {
+		t.Error(ran)
+	}
+}
+
 // TestScenarios runs the scenario files in testdata with gates and fake backend
 // servers that communicate over local connections.
 func TestScenarios(t *testing.T) {
--- a/internal/service/gate/withdrawn_test.go
+++ b/internal/service/gate/withdrawn_test.go
@@ -33,16 +33,5 @@
 	s.members.beforeDecide = func(n *node) { n.withdraw(s.members, "a") }
 	n := startNode("a", s.clock, s.ledger, s.members, &model.Service{Name: serviceName, Slots: 2, Queue: 4})
 	s.nodes["a"] = n
-	response, err := n.send(t, "GET", "r1")
-	must(err)
-	defer response.Body.Close()
-	if outcome, _, _ := readOutcome(t, response); outcome != model.OutcomeNotRun {
-		t.Errorf("outcome %s", outcome)
-	}
-	if refused := n.gate.Stats().Refused[model.ReasonLeaving]; refused != 1 {
-		t.Errorf("%d requests were refused as leaving", refused)
-	}
-	if ran := s.ledger.String(); ran != "nothing ran\n" {
-		t.Error(ran)
-	}
+	s.checkRefusedOnce(t, n, model.ReasonLeaving)
 }
--- a/internal/service/ingress/cut_response_test.go
+++ b/internal/service/ingress/cut_response_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
@@ -94,17 +93,10 @@
 }
 
 func (s *cutServer) handle(conn *net.TCPConn, r *http.Request) {
-	if r.URL.Path == "/healthz" {
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-		_ = conn.Close()
+	if answerHealthCheck(conn, r) {
 		return
 	}
-	extra := ""
-	if request, ok := hop.DecodeRequest(r.Header); ok { // the server stands in for a gate
-		h := make(http.Header)
-		hop.Response{ID: request.ID, Outcome: model.OutcomeAnswered, Incarnation: request.Incarnation}.Encode(h)
-		extra = hop.HeaderResponse + ": " + h.Get(hop.HeaderResponse) + "\r\n"
-	}
+	extra := gateHeader(r, model.OutcomeAnswered)
 	c, arrival := s.arrive(r.URL.Path)
 	text := c.whole(extra, arrival)
 	if arrival > 1 {
--- a/internal/service/ingress/early_response_test.go
+++ b/internal/service/ingress/early_response_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
@@ -113,16 +112,11 @@
 }
 
 func (u *uploadReader) handle(conn *net.TCPConn, r *http.Request) {
-	if r.URL.Path == "/healthz" {
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-		_ = conn.Close()
+	if answerHealthCheck(conn, r) {
 		return
 	}
-	extra := ""
-	if request, ok := hop.DecodeRequest(r.Header); ok {
-		h := make(http.Header)
-		hop.Response{ID: request.ID, Outcome: u.outcome, Reason: model.ReasonBrokenAnswer, Incarnation: request.Incarnation}.Encode(h)
-		extra = hop.HeaderResponse + ": " + h.Get(hop.HeaderResponse) + "\r\n"
+	extra := gateHeader(r, u.outcome)
+	if extra != "" {
 		_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	size, wrong, err := readUpload(r.Body, func() { _, _ = fmt.Fprintf(conn, u.head, extra) })
--- a/internal/service/ingress/odd_status_test.go
+++ b/internal/service/ingress/odd_status_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
@@ -32,17 +31,10 @@
 
 func (s *oddServer) handle(conn *net.TCPConn, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	if r.URL.Path == "/healthz" {
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-		_ = conn.Close()
+	if answerHealthCheck(conn, r) {
 		return
 	}
-	extra := ""
-	if request, ok := hop.DecodeRequest(r.Header); ok {
-		h := make(http.Header)
-		hop.Response{ID: request.ID, Outcome: model.OutcomeAnswered, Incarnation: request.Incarnation}.Encode(h)
-		extra = hop.HeaderResponse + ": " + h.Get(hop.HeaderResponse) + "\r\n"
-	}
+	extra := gateHeader(r, model.OutcomeAnswered)
 	status, body := "200", "whole"
 	if s.arrive(r.URL.Path) == 1 {
 		status, body = s.status, "odd!!"
--- a/internal/service/ingress/real_gate_test.go
+++ b/internal/service/ingress/real_gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/control"
+	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/kernel"
 	"github.com/galenalever/galenalever/internal/model"
 	"github.com/galenalever/galenalever/internal/service/backend"
@@ -75,6 +77,32 @@
 	}
 }
 
+// answerHealthCheck answers a health check and reports whether the request is one.
+func answerHealthCheck(conn *net.TCPConn, r *http.Request) bool {
+	if r.URL.Path != "/healthz" {
+		return false
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	_ = conn.Close()
+	return true
+}
+
+// gateHeader returns the header line that makes a response that of a gate, if the request comes
+// from a node, or else an empty text.
+func gateHeader(r *http.Request, outcome model.Outcome) string {
+	request, ok := hop.DecodeRequest(r.Header)
+	if !ok {
+		return ""
+	}
+	response := hop.Response{ID: request.ID, Outcome: outcome, Incarnation: request.Incarnation}
+	if outcome != model.OutcomeAnswered {
+		response.Reason = model.ReasonBrokenAnswer
+	}
+	h := make(http.Header)
+	response.Encode(h)
+	return hop.HeaderResponse + ": " + h.Get(hop.HeaderResponse) + "\r\n"
+}
+
 const rawService = model.ServiceName("shop/raw")
 
 // newRawMesh returns a caller's node in real time, with two routes to one service:
--- a/internal/service/ingress/reset_upload_test.go
+++ b/internal/service/ingress/reset_upload_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/galenalever/galenalever/internal/hop"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
@@ -30,16 +29,11 @@
 type resetServer struct{}
 
 func (resetServer) handle(conn *net.TCPConn, r *http.Request) {
-	if r.URL.Path == "/healthz" {
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-		_ = conn.Close()
+	if answerHealthCheck(conn, r) {
 		return
 	}
-	extra := ""
-	if request, ok := hop.DecodeRequest(r.Header); ok {
-		h := make(http.Header)
-		hop.Response{ID: request.ID, Outcome: model.OutcomeAnswered, Incarnation: request.Incarnation}.Encode(h)
-		extra = hop.HeaderResponse + ": " + h.Get(hop.HeaderResponse) + "\r\n"
+	extra := gateHeader(r, model.OutcomeAnswered)
+	if extra != "" {
 		_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	fields := strings.Split(r.URL.Path, "/")
