Tests: an early response that stays open leaves the upload whole

The tests of early responses checked that no byte is wrong; they check now that the whole upload arrives, too, as long as the response is open. The test of resets waits as long for a gate's server as that of cut responses.

--- a/internal/service/ingress/early_response_test.go
+++ b/internal/service/ingress/early_response_test.go
@@ -88,10 +88,11 @@
 }
 
 // earlyResponses are responses that a server or a gate sends before it has read the upload.
-// Stream is true if the response ends once the upload has been read.
+// Open is true if the response does not end before the connection does, so that the whole
+// upload is to be read.
 var earlyResponses = map[string]struct {
-	head   string
-	stream bool
+	text string
+	open bool
 }{
 	"no length":     {"HTTP/1.1 413 Too Large\r\n%s\r\nlarge", true},
 	"chunked":       {"HTTP/1.1 413 Too Large\r\nTransfer-Encoding: chunked\r\n%s\r\n5\r\nlarge\r\n", true},
@@ -105,7 +106,8 @@
 // and checks what it reads.
 type uploadReader struct {
 	t       *testing.T
-	head    string
+	text    string
+	open    bool
 	size    int
 	outcome model.Outcome // of a gate
 	done    chan struct{}
@@ -119,12 +121,15 @@
 	if extra != "" {
 		_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
-	size, wrong, err := readUpload(r.Body, func() { _, _ = fmt.Fprintf(conn, u.head, extra) })
+	size, wrong, err := readUpload(r.Body, func() { _, _ = fmt.Fprintf(conn, u.text, extra) })
 	if wrong >= 0 {
 		u.t.Errorf("byte %d of %d is not the one that was sent, body ends with %v", wrong, size, err)
 	}
-	if errors.Is(err, io.EOF) && size != u.size {
+	switch ended := errors.Is(err, io.EOF); {
+	case ended && size != u.size:
 		u.t.Errorf("the upload looks whole after %d of %d bytes", size, u.size)
+	case !ended && u.open:
+		u.t.Errorf("the upload is cut after %d of %d bytes: %v", size, u.size, err)
 	}
 	_ = conn.Close()
 	u.done <- struct{}{}
@@ -137,7 +142,7 @@
 			for _, chunked := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s/%d/chunked=%t", name, size, chunked), func(t *testing.T) {
 					t.Parallel()
-					test(t, &uploadReader{t: t, head: response.head, size: size, done: make(chan struct{}, 1)}, chunked)
+					test(t, &uploadReader{t: t, text: response.text, open: response.open, size: size, done: make(chan struct{}, 1)}, chunked)
 				})
 			}
 		}
@@ -164,6 +169,9 @@
 		t.Run(outcome.String(), func(t *testing.T) {
 			forEachUpload(t, func(t *testing.T, reader *uploadReader, chunked bool) {
 				reader.outcome = outcome
+				if outcome != model.OutcomeAnswered || reader.text == earlyResponses["no length"].text {
+					reader.open = false // the caller's node takes no such response from another node
+				}
 				m := newRawMesh(t)
 				m.addRawMember("gate", startRawServer(t, reader.handle).address(), 7)
 				m.start(0)
--- a/internal/service/ingress/reset_upload_test.go
+++ b/internal/service/ingress/reset_upload_test.go
@@ -94,10 +94,10 @@
 // response is not a whole success.
 func sendReset(t *testing.T, address, path string) {
 	const size = 1 << 20
-	for range 20 { // a gate refuses requests while it believes that its server is down
+	for range maxResends { // a gate refuses requests while it believes that its server is down
 		r := sendUpload(t, address, path, size, true)
 		if r.whole && r.status == http.StatusServiceUnavailable {
-			time.Sleep(50 * time.Millisecond)
+			time.Sleep(resendDelay)
 			continue
 		}
 		if r.invalid != "" || r.whole && r.status != http.StatusBadGateway && r.status != http.StatusGatewayTimeout {
--- a/internal/service/ingress/too_large_race_test.go
+++ b/internal/service/ingress/too_large_race_test.go
@@ -8,7 +8,7 @@
 // an upload turns out to be too large while the response to it is being written.
 func TestUploadBecomesTooLargeAfterResponse(t *testing.T) {
 	for range 20 {
-		reader := &uploadReader{t: t, head: earlyResponses["chunked"].head, size: 640 << 10, done: make(chan struct{}, 1)}
+		reader := &uploadReader{t: t, text: earlyResponses["chunked"].text, size: 640 << 10, done: make(chan struct{}, 1)}
 		m := newRawMesh(t)
 		for _, route := range m.tree.Routes {
 			route.MaxBody = earlyAfter + 64<<10
