platformread: hold entries that a platform brings back from an older copy

A server that had reported that it leaves, or whose entry was removed, got requests again as soon as the store had returned from a copy made before.

Cause: the entries of the copy are read at later positions than the removal, and the position alone decided.

Change: the first listing after a return holds back entries that describe an earlier state of a server than is known (before it was started again, began to leave or was removed). RemovalHold and the new ReturnHold share their records.

Remains: a node that starts between the return and the expiry has not known the later state, and takes the entry of the copy.

--- a/internal/decision/platformread/removal_hold.go
+++ b/internal/decision/platformread/removal_hold.go
@@ -25,13 +25,7 @@
 type RemovalHold struct {
 	// until is the end of the grace period after the last outage.
 	until time.Time
-	held  map[model.InstanceID]heldRemoval
-}
-
-// heldRemoval is a removal that passes at the time due.
-type heldRemoval struct {
-	record model.Member
-	due    time.Time
+	held  heldRecords
 }
 
 // PlatformRecovered starts the grace period, also of the removals that are held back: the
@@ -72,10 +66,7 @@
 		}
 		delete(h.held, m.ID) // the received record is newer
 		if removed(m) && now.Before(due) {
-			if h.held == nil {
-				h.held = make(map[model.InstanceID]heldRemoval)
-			}
-			h.held[m.ID] = heldRemoval{record: m, due: due}
+			h.held.add(m, due)
 			continue
 		}
 		out = append(out, m)
@@ -94,22 +85,10 @@
 func (h *RemovalHold) Holding() bool { return len(h.held) > 0 }
 
 // Due returns the held removals whose grace period is over, and releases them.
-func (h *RemovalHold) Due(now time.Time) []model.Member {
-	var out []model.Member
-	for id, r := range h.held {
-		if !now.Before(r.due) {
-			out = append(out, r.record)
-			delete(h.held, id)
-		}
-	}
-	return out
-}
+func (h *RemovalHold) Due(now time.Time) []model.Member { return h.held.release(now) }
 
 // Wait returns how long to wait for the next records: at most longest, and no longer
 // than until the first held removal is due.
 func (h *RemovalHold) Wait(longest time.Duration, now time.Time) time.Duration {
-	for _, r := range h.held {
-		longest = min(longest, max(r.due.Sub(now), 0))
-	}
-	return longest
+	return h.held.wait(longest, now)
 }
--- a/internal/service/source/instances.go
+++ b/internal/service/source/instances.go
@@ -27,14 +27,15 @@
 		}
 	}
 	for ctx.Err() == nil {
-		list, err := s.listInstances(ctx, s.removalHold.Wait(wait, s.clock.Now()))
+		now := s.clock.Now()
+		list, err := s.listInstances(ctx, s.removalHold.Wait(s.returnHold.Wait(wait, now), now))
 		if err != nil {
 			report(false)
 			retry.failed(ctx, err)
 			wait = waitAfterFailure
 			continue
 		}
-		now := s.clock.Now()
+		now = s.clock.Now()
 		if retry.failures > 0 || list.Returned {
 			s.removalHold.PlatformRecovered(now)
 		}
@@ -44,7 +45,7 @@
 			continue
 		}
 		wait = s.config.Pacing.WatchWait
-		list.Members = s.holdRemovals(list.Members, now)
+		list.Members = s.holdRemovals(s.holdReturned(list, now), now)
 		s.postMembers(ctx, list, current)
 		report(true) // other nodes may now rely on what this one knows
 		s.awaitListInterval(ctx)
@@ -59,6 +60,19 @@
 	return message
 }
 
+// holdReturned delays entries that the platform has brought back from an older copy and that
+// contradict later ones, and adds the delayed entries that are now due.
+func (s *Service) holdReturned(list InstanceListing, now time.Time) []model.Member {
+	if list.Complete {
+		s.returnHold.KeepListed(list.Members)
+	}
+	passed := s.returnHold.Filter(list.Members, list.Returned, s.members.Load().Get, now)
+	if n := len(list.Members) - len(passed); n > 0 {
+		s.log.Info("delaying entries of an older copy of the platform", "count", n)
+	}
+	return append(passed, s.returnHold.Due(now)...)
+}
+
 // holdRemovals delays removals that a platform outage may have caused, since
 // entries expire meanwhile, and adds the delayed removals that are now due.
 func (s *Service) holdRemovals(received []model.Member, now time.Time) []model.Member {
@@ -70,15 +84,15 @@
 	return append(passed, s.removalHold.Due(now)...)
 }
 
-// postMembers posts the changes up to the revision of a listing. While removals are held
-// back, not all changes are known.
+// postMembers posts the changes up to the revision of a listing. While some are held back,
+// not all changes are known.
 func (s *Service) postMembers(ctx context.Context, list InstanceListing, current assignment) {
 	var messages []kernel.Message
 	if len(list.Members) > 0 || len(list.Removed) > 0 || list.Complete {
 		messages = append(messages, membersOf(list))
 	}
 	done := listingRead{listing: listingInstances, round: current.round, revision: list.Revision, handled: make(chan struct{})}
-	if s.removalHold.Holding() {
+	if s.removalHold.Holding() || s.returnHold.Holding() {
 		done.revision = 0
 	}
 	s.postAndWait(ctx, done, messages...)
--- a/internal/service/source/source.go
+++ b/internal/service/source/source.go
@@ -124,8 +124,9 @@
 	// instancesRevision is the newest revision of the instance list. Only the
 	// goroutine that watches the list uses it.
 	instancesRevision model.Revision
-	// removalHold is used by the same goroutine only.
+	// removalHold and returnHold are used by the same goroutine only.
 	removalHold platformread.RemovalHold
+	returnHold  platformread.ReturnHold
 	// returns counts the returns of the platform from an older copy that this node noticed.
 	returns tally.Counter
 	// decodeTime is the time spent parsing values since the last posted cut, 0 if no
