platformread: keep evacuations that a platform loses by returning from an older copy

After the store had returned from a copy made before an evacuation, its complete listing ended the evacuation, and requests reached the servers there again until the operator had written it again.

--- a/internal/decision/platformread/assembler.go
+++ b/internal/decision/platformread/assembler.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// Advanced reports whether a listing newer than the base was added.
+func (a *Assembler) Advanced() bool { return a.listed > a.base.Revision }
+
 // Next returns a key whose value must be read, or false if there is none.
 func (a *Assembler) Next() (model.Key, bool) {
 	for key := range a.wanted {
@@ -110,7 +113,7 @@
 // Cut returns the complete cut. It returns false while values are still to be read
 // or are newer than the listing, or if the listing is not newer than the base.
 func (a *Assembler) Cut() (model.Cut, bool) {
-	if len(a.wanted) > 0 || a.NeedsListing() || a.listed <= a.base.Revision {
+	if len(a.wanted) > 0 || a.NeedsListing() || !a.Advanced() {
 		return model.Cut{}, false
 	}
 	cut := model.Cut{Revision: a.listed, Subtrees: make(map[model.Key]*model.Subtree, len(a.base.Subtrees)+len(a.changed))}
--- a/internal/service/source/keys.go
+++ b/internal/service/source/keys.go
@@ -22,6 +22,7 @@
 	for ctx.Err() == nil {
 		if base := s.knownCut(); base.Revision > assembler.After() {
 			assembler = platformread.NewAssembler(base)
+			s.evacuationsSettled = false
 		}
 		if err := s.assemble(ctx, assembler, wait); err != nil {
 			retry.failed(ctx, err)
@@ -58,6 +59,10 @@
 	cut, ok := assembler.Cut()
 	if ok {
 		messages = append(messages, control.CutReceived{Cut: cut})
+		if s.evacuationsSettled {
+			s.evacuationHold.Settled()
+			s.evacuationsSettled = false
+		}
 	}
 	posted := s.clock.Now()
 	done := listingRead{listing: listingKeys, round: current.round, revision: assembler.After(), handled: make(chan struct{})}
@@ -125,15 +130,32 @@
 	if err := s.awaitRateLimit(ctx); err != nil {
 		return err
 	}
-	list, err := s.config.Platform.Keys(ctx, a.After(), wait)
+	if err := s.addKeys(ctx, a, a.After(), wait); err != nil {
+		return err
+	}
+	if s.evacuationHold.Expired(s.clock.Now()) && a.Advanced() {
+		s.evacuationsSettled = true
+		return s.addKeys(ctx, a, 0, 0) // all keys, so that missing evacuations show
+	}
+	return nil
+}
+
+// addKeys adds the changes of keys after a revision to the assembler.
+func (s *Service) addKeys(ctx context.Context, a *platformread.Assembler, after model.Revision, wait time.Duration) error {
+	list, err := s.config.Platform.Keys(ctx, after, wait)
 	if err != nil {
 		return err
 	}
 	if err := a.AddListing(list.Revision, list.Changes); err != nil {
 		return err
 	}
-	if list.EvacuationsAt > 0 {
-		a.RemoveMissingEvacuations(list.EvacuationsAt, list.Changes)
+	if list.EvacuationsAt == 0 {
+		return nil
+	}
+	now := s.clock.Now()
+	if kept := a.RemoveMissingEvacuations(list.EvacuationsAt, list.Changes, s.evacuationHold.Keeps(list.EvacuationsAt, now)); kept > 0 {
+		s.evacuationHold.Kept(list.EvacuationsAt, now)
+		s.log.Info("keeping evacuations that the platform lost by returning from an older copy", "count", kept)
 	}
 	return nil
 }
--- a/internal/service/source/source.go
+++ b/internal/service/source/source.go
@@ -127,6 +127,11 @@
 	// removalHold and returnHold are used by the same goroutine only.
 	removalHold platformread.RemovalHold
 	returnHold  platformread.ReturnHold
+	// evacuationHold and evacuationsSettled are used by the goroutine that watches the keys
+	// only. evacuationsSettled is true if the cut being assembled holds no evacuations that
+	// are missing in the platform.
+	evacuationHold     platformread.EvacuationHold
+	evacuationsSettled bool
 	// returns counts the returns of the platform from an older copy that this node noticed.
 	returns tally.Counter
 	// decodeTime is the time spent parsing values since the last posted cut, 0 if no
