--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -53,7 +53,7 @@
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "INSTANCE\tSERVICE\tDOMAIN\tUPTIME\tCUT\tPRESENCE\tUPSTREAM\tCONTROL BYTES IN/OUT\tHELD")
 	for _, r := range reports {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\n",
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n",
 			r.Instance, r.Service, r.Domain, r.Uptime.Round(time.Second), r.Version.Cut,
 			orDash(r.Presence), orDash(r.Upstream()), orDash(r.ControlBytes()), orDash(r.Version.HeldText()))
 	}
--- a/internal/ctl/where.go
+++ b/internal/ctl/where.go
@@ -54,7 +54,7 @@
 }
 
 func printWhere(w io.Writer, a status.Where) error {
-	fmt.Fprintf(w, "%s %s%s from %s (%s), configuration %d, applied %s ago\n",
+	fmt.Fprintf(w, "%s %s%s from %s (%s), configuration %s, applied %s ago\n",
 		a.Method, a.Host, a.Path, a.Instance, a.Domain, a.Revision, a.Applied.Round(time.Second))
 	if a.Route != nil {
 		printRoute(w, a.Route)
