exchange, source: ask a peer first when starting on a platform that has returned

A process that started after the store had returned from an older copy, and before the operator had written its version again, ran the version of the copy and refused routes that all other nodes served.

Cause: it reads the platform before it knows a peer, and the first configuration that it gets is the one of the copy.

Change: in a later era than 0, a process without a configuration waits for that of a peer for up to 0.4 s before it uses what it has read. Followers ask their upstreams anyway; readers ask the nodes that would read in their place, until they have a configuration.

--- a/internal/service/exchange/follow.go
+++ b/internal/service/exchange/follow.go
@@ -111,7 +111,9 @@
 	s.links.Store(f.newLinks(s.config.Self.Addresses.Control, carries && s.planner.configured, place.Reader && !carries, now))
 	if next.reader && carries {
 		next.interim = false
-		if !f.unreachable {
+		// A platform that has returned from an older copy may lack versions that others have.
+		asksOthers := !s.planner.configured && place.Upstreams[0].ListedAt.Era() > 0
+		if !f.unreachable && !asksOthers {
 			clear(f.confirmed)
 			return
 		}
--- a/internal/service/source/keys.go
+++ b/internal/service/source/keys.go
@@ -58,6 +58,7 @@
 	var messages []kernel.Message
 	cut, ok := assembler.Cut()
 	if ok {
+		s.awaitNewerVersions(ctx, cut.Revision)
 		messages = append(messages, control.CutReceived{Cut: cut})
 		if s.evacuationsSettled {
 			s.evacuationHold.Settled()
@@ -71,6 +72,18 @@
 	s.decodeTime = 0
 }
 
+// awaitNewerVersions waits until a node without a configuration has got one from a peer, if
+// the platform has ever returned from an older copy: the copy may hold an older version than
+// peers do. The wait has a limit for a node without peers.
+func (s *Service) awaitNewerVersions(ctx context.Context, read model.Revision) {
+	if read.Era() == 0 || s.knownCut().Revision > 0 {
+		return
+	}
+	ctx, cancel := clock.WithTimeout(ctx, s.clock, peerWait)
+	defer cancel()
+	_ = s.configurations.AwaitWhile(ctx, func(c *model.Configuration) bool { return c == nil || c.Cut.Revision == 0 }) // the calling loop checks its context
+}
+
 func (s *Service) knownCut() model.Cut {
 	if state := s.configurations.Load(); state != nil {
 		return state.Cut
--- a/internal/service/source/source.go
+++ b/internal/service/source/source.go
@@ -59,6 +59,9 @@
 	// delayPerReader is how long a reader waits, for each reader before it, for that
 	// reader to deliver changed values.
 	delayPerReader = 750 * time.Millisecond
+	// peerWait is how long a node that has just started waits for the configuration of a
+	// peer after it has read the platform's. Peers respond within a few round trips.
+	peerWait = 400 * time.Millisecond
 	// callRate (calls per second) and callBurst limit the calls of one process. They
 	// keep the readers of 11 failure domains together below 700 calls per second.
 	callRate  = rate.Limit(20)
