Quarantine: a run during which the server crashed is no completion

Callers saw: the servers of a service crashed again and again for as long as a client sent one request to all nodes at once.

Change: Completions knows the server's crashes. A run that began before the latest crash doesn't count, and a crash takes back what had ended only within 100 ms before it. Completions from long before a crash still count, so requests that many callers send are not kept away (DENIED).

--- a/internal/decision/quarantine/quarantine_test.go
+++ b/internal/decision/quarantine/quarantine_test.go
@@ -201,7 +201,7 @@
 				t.Fatalf("at %v: fingerprint %v completed at %v, Recent returns %v", now, f, at, got)
 			}
 			if rapid.Bool().Draw(t, "complete") {
-				c.Add(f, now)
+				c.Add(f, now, now)
 				latest[f] = now
 			}
 		}
--- a/internal/service/gate/dependencies.go
+++ b/internal/service/gate/dependencies.go
@@ -39,7 +39,7 @@
 	Decide(f quarantine.Fingerprint) quarantine.Decision
 	Report(ctx context.Context, fingerprints []quarantine.Fingerprint)
 	ReportAlone(ctx context.Context, f quarantine.Fingerprint, abandoned []quarantine.Fingerprint)
-	Completed(f quarantine.Fingerprint)
+	Completed(f quarantine.Fingerprint, started time.Time)
 	Suspects() *kernel.Snapshot[quarantine.Table]
 }
 
--- a/internal/service/gate/relay.go
+++ b/internal/service/gate/relay.go
@@ -53,7 +53,7 @@
 	s.logCall(c, model.OutcomeAnswered, "", response.StatusCode, 0)
 	s.counters.countAnswered()
 	if c.fingerprintCoversBody() && ranToEnd(response.StatusCode) {
-		s.deps.suspects.Completed(c.fingerprint)
+		s.deps.suspects.Completed(c.fingerprint, c.started)
 	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/internal/service/quarantine/quarantine.go
+++ b/internal/service/quarantine/quarantine.go
@@ -166,6 +166,7 @@
 // respond to the requests before Report returns, since a retry could otherwise reach a
 // gate without the record.
 func (s *Service) Report(ctx context.Context, fingerprints []quarantine.Fingerprint) {
+	s.recordCrash()
 	fingerprints = slices.DeleteFunc(fingerprints, s.completedRecently)
 	if len(fingerprints) > 0 {
 		s.report(ctx, fingerprints, false)
@@ -177,6 +178,7 @@
 // recently, the evidence is no stronger than that of Report. Earlier completions do not
 // count in favour of the suspect itself.
 func (s *Service) ReportAlone(ctx context.Context, f quarantine.Fingerprint, abandoned []quarantine.Fingerprint) {
+	s.recordCrash()
 	others := slices.DeleteFunc(abandoned, func(other quarantine.Fingerprint) bool {
 		return other == f || s.completedRecently(other)
 	})
@@ -211,19 +213,29 @@
 	return slices.ContainsFunc(fingerprints, func(f quarantine.Fingerprint) bool { return !table.IsSuspect(f) })
 }
 
+func (s *Service) recordCrash() {
+	s.completionsMu.Lock()
+	defer s.completionsMu.Unlock()
+	s.completions.Crashed(s.clock.Now())
+}
+
 func (s *Service) completedRecently(f quarantine.Fingerprint) bool {
 	s.completionsMu.Lock()
 	defer s.completionsMu.Unlock()
 	return s.completions.Recent(f, s.clock.Now())
 }
 
-// Completed records that a request has run on this node's server without a crash, which
-// clears its suspicion. It does not wait; the other gates are notified later. If the
-// mailbox of the control loop is full, a suspect is not cleared.
-func (s *Service) Completed(f quarantine.Fingerprint) {
+// Completed records that a request that began at started has run on this node's server.
+// If the server has not crashed since, that clears its suspicion. Completed does not wait;
+// the other gates are notified later. If the mailbox of the control loop is full, a
+// suspect is not cleared.
+func (s *Service) Completed(f quarantine.Fingerprint, started time.Time) {
 	s.completionsMu.Lock()
-	s.completions.Add(f, s.clock.Now())
+	counts := s.completions.Add(f, started, s.clock.Now())
 	s.completionsMu.Unlock()
+	if !counts {
+		return
+	}
 	if suspect, ok := s.table.Load().Suspect(f); ok {
 		s.loop.TryPost(suspectsReceived{
 			suspects: []quarantine.Suspect{suspect.Clear()}, applied: make(chan struct{}), notifyPeers: true,
