Stand-in server: a crash answers no request

Tests saw: a request that crashes the stand-in got an empty 200 when another one had crashed it a moment before and its connection was not closed yet: Crash returned at once, and net/http answers a request whose handler returns. The stand-in promises a reset without a response.

Change: the handler aborts after Crash. TestCrashAnswersNoRequest (12 crashing requests at a time, 40 rounds) failed before, at the first run, and passes; three runs of the package pass.

--- a/internal/standin/backend/request.go
+++ b/internal/standin/backend/request.go
@@ -39,7 +39,7 @@
 	}
 	if s.overloaded() {
 		s.Crash()
-		return
+		panic(http.ErrAbortHandler) // another crash may not have closed this connection yet
 	}
 	if !s.acquireSlot() {
 		w.Header().Set(HeaderShed, "yes")
@@ -62,7 +62,7 @@
 	if r.Header.Get(HeaderCrash) == "yes" {
 		s.Crash()
 		end(false)
-		return
+		panic(http.ErrAbortHandler) // another crash may not have closed this connection yet
 	}
 	completed := sleep(r.Context(), s.scaleRunTime(options.runTime))
 	end(completed)
