Removals: a cut watch is no outage, and a hold has an upper bound

Callers saw: requests reached removed workers until these exited.

Cause: the first response after any failed call counted as the end of an outage of the store, which holds removals back for 2.3 s, and also those that were held already. A watch that the store cuts is a failed call, and failures of an earlier time of reading were still counted when the node began to read again.

Change: RemovalHold decides from the failed calls itself. They show an outage if two follow each other, or if the platform owed a response for a second; a waiting watch that is cut owes none. When a node begins to read again, an outage that it saw before ended after its last failure. No removal is held for more than 4.6 s (two outages in a row) after its first sight. The grace period of 2.3 s after an outage stays, for entries that expired meanwhile and are written again within 2 s.

--- a/internal/decision/platformread/held_records.go
+++ b/internal/decision/platformread/held_records.go
@@ -10,17 +10,17 @@
 // none.
 type heldRecords map[model.InstanceID]heldRecord
 
-// heldRecord is a record that passes at the time due.
+// heldRecord is a record that was first seen at the time seen and passes at the time due.
 type heldRecord struct {
-	record model.Member
-	due    time.Time
+	record    model.Member
+	seen, due time.Time
 }
 
-func (h *heldRecords) add(m model.Member, due time.Time) {
+func (h *heldRecords) add(r heldRecord) {
 	if *h == nil {
 		*h = make(heldRecords)
 	}
-	(*h)[m.ID] = heldRecord{record: m, due: due}
+	(*h)[r.record.ID] = r
 }
 
 // release returns the records that are due, and removes them.
--- a/internal/decision/platformread/removal_hold.go
+++ b/internal/decision/platformread/removal_hold.go
@@ -17,6 +17,9 @@
 	// massRemovalGrace is shorter than recoveryGrace, since so many servers may also
 	// have left on purpose.
 	massRemovalGrace = 1200 * time.Millisecond
+	// maxRemovalHold is the maximum time from the first sight of a removal until it passes,
+	// whatever fails meanwhile: two outages in a row.
+	maxRemovalHold = 2 * recoveryGrace
 )
 
 // RemovalHold holds back removals of servers that may only have been unable to renew
@@ -24,16 +27,41 @@
 // is control state and must be used by one goroutine only.
 type RemovalHold struct {
 	// until is the end of the grace period after the last outage.
-	until time.Time
-	held  heldRecords
+	until    time.Time
+	held     heldRecords
+	failures failures
+}
+
+// ReadingBegan records that the node begins to read the platform, which it may have done
+// before. An outage that it saw then ended after its last failure, and not at the first
+// response to this reading.
+func (h *RemovalHold) ReadingBegan() {
+	if h.failures.showOutage(h.failures.last) {
+		h.extend(h.failures.last.Add(recoveryGrace))
+	}
+	h.failures = failures{}
+}
+
+// CallFailed records a failed call, of which the platform owed the response at answerDue.
+func (h *RemovalHold) CallFailed(answerDue, now time.Time) { h.failures.add(answerDue, now) }
+
+// CallSucceeded records a response. If the failures before it show an outage, the platform
+// has recovered.
+func (h *RemovalHold) CallSucceeded(now time.Time) {
+	if h.failures.showOutage(now) {
+		h.PlatformRecovered(now)
+	}
+	h.failures = failures{}
 }
 
 // PlatformRecovered starts the grace period, also of the removals that are held back: the
-// platform answers again after a failure.
-func (h *RemovalHold) PlatformRecovered(now time.Time) {
-	h.until = now.Add(recoveryGrace)
+// platform answers again after an outage.
+func (h *RemovalHold) PlatformRecovered(now time.Time) { h.extend(now.Add(recoveryGrace)) }
+
+func (h *RemovalHold) extend(until time.Time) {
+	h.until = later(h.until, until)
 	for id, r := range h.held {
-		r.due = later(r.due, h.until)
+		r.due = earlier(later(r.due, h.until), r.seen.Add(maxRemovalHold))
 		h.held[id] = r
 	}
 }
@@ -60,13 +88,14 @@
 	}
 	out := make([]model.Member, 0, len(received))
 	for _, m := range received {
-		due := h.until
-		if earlier, again := h.held[m.ID]; again {
-			due = earlier.due
+		r, again := h.held[m.ID]
+		if !again {
+			r = heldRecord{due: h.until, seen: now}
 		}
+		r.record = m
 		delete(h.held, m.ID) // the received record is newer
-		if removed(m) && now.Before(due) {
-			h.held.add(m, due)
+		if removed(m) && now.Before(r.due) {
+			h.held.add(r)
 			continue
 		}
 		out = append(out, m)
@@ -81,6 +110,13 @@
 	return b
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Holding reports whether any removal is held back.
 func (h *RemovalHold) Holding() bool { return len(h.held) > 0 }
 
--- a/internal/decision/platformread/return_hold.go
+++ b/internal/decision/platformread/return_hold.go
@@ -31,7 +31,7 @@
 		}
 		delete(h.held, m.ID)
 		if before, ok := known(m.ID); returned && ok && contradicts(m, before) {
-			h.held.add(m, now.Add(returnGrace))
+			h.held.add(heldRecord{record: m, seen: now, due: now.Add(returnGrace)})
 			continue
 		}
 		out = append(out, m)
--- a/internal/service/source/instances.go
+++ b/internal/service/source/instances.go
@@ -26,17 +26,21 @@
 			_ = s.loop.Post(ctx, control.PlatformReached{Reached: ok}) // fails with the context only
 		}
 	}
+	s.removalHold.ReadingBegan()
 	for ctx.Err() == nil {
 		now := s.clock.Now()
-		list, err := s.listInstances(ctx, s.removalHold.Wait(s.returnHold.Wait(wait, now), now))
+		waits := s.removalHold.Wait(s.returnHold.Wait(wait, now), now)
+		list, err := s.listInstances(ctx, waits)
 		if err != nil {
 			report(false)
+			s.removalHold.CallFailed(now.Add(waits), s.clock.Now())
 			retry.failed(ctx, err)
 			wait = waitAfterFailure
 			continue
 		}
 		now = s.clock.Now()
-		if retry.failures > 0 || list.Returned {
+		s.removalHold.CallSucceeded(now)
+		if list.Returned {
 			s.removalHold.PlatformRecovered(now)
 		}
 		retry.succeeded()
