Planned stops: a call that was taken is not broken off before its deadline

Change: only calls whose deadlines lie after the tolerance are broken off at the end; the others end at their deadlines. The tolerance belongs to the plan (drain.Plan.Tolerance) and leaves half of the time until the callers' connections are closed: 50 ms in a drain of 4 s or more, 25 ms in one of 1 s. Calls that outlast the drain end as before.

The scenario calls_cut_by_planned_stop has such a call; it failed before. The scenario's drain has a CloseBy now, without which there is no tolerance; its checks are unchanged.

--- a/internal/decision/drain/drain.go
+++ b/internal/decision/drain/drain.go
@@ -41,6 +41,18 @@
 // Fits reports whether a request with the given deadline ends before the node does.
 func (p Plan) Fits(deadline time.Time) bool { return !deadline.After(p.End) }
 
+// maxTolerance limits Plan.Tolerance.
+const maxTolerance = 50 * time.Millisecond
+
+// Tolerance is how long after End an accepted request may still run. It allows for the
+// transit time of a request whose deadline was limited to End, and leaves half of the
+// time until CloseBy.
+func (p Plan) Tolerance() time.Duration { return max(0, min(maxTolerance, p.CloseBy.Sub(p.End)/2)) }
+
+// FitsLate reports whether a request with the given deadline ends before the node does, or
+// within Tolerance after End.
+func (p Plan) FitsLate(deadline time.Time) bool { return p.Fits(deadline.Add(-p.Tolerance())) }
+
 // coldFactor is how many times as long a request may take at a cold server, which is about
 // half as fast.
 const coldFactor = 2
--- a/internal/decision/drain/drain_test.go
+++ b/internal/decision/drain/drain_test.go
@@ -102,3 +102,16 @@
 		}
 	}
 }
+
+// TestTolerance guards against requests that a leaving node takes and breaks off before
+// their deadlines, and against a tolerance that outlasts a short drain.
+func TestTolerance(t *testing.T) {
+	begin := time.Unix(1_700_000_000, 0)
+	for timeout, want := range map[time.Duration]time.Duration{5500 * ms: 50 * ms, 1000 * ms: 25 * ms, 100 * ms: 2500 * time.Microsecond} {
+		plan := drain.NewPlan(begin, 0, timeout)
+		last := plan.End.Add(want)
+		if !plan.FitsLate(last) || plan.FitsLate(last.Add(1)) || !last.Before(plan.CloseBy) {
+			t.Errorf("drain of %s: tolerance %s, want %s", timeout, plan.Tolerance(), want)
+		}
+	}
+}
--- a/internal/service/gate/drain.go
+++ b/internal/service/gate/drain.go
@@ -21,22 +21,21 @@
 	s.clock.AfterFunc(m.Plan.End.Sub(s.clock.Now()), s.endCalls)
 }
 
-// transitTolerance allows for the transit time of the calls of this node's own callers,
-// whose deadlines ingress has limited to the end of the drain.
-const transitTolerance = 50 * time.Millisecond
-
 // checkTimeLeft refuses a call that may outlast a node that leaves. How long calls usually
 // take does not matter, since the caller's node can choose another server.
 func (s *Service) checkTimeLeft(c *call) *refusal {
 	plan := s.drainPlan.Load()
-	if plan == nil {
+	if plan == nil || plan.FitsLate(c.deadline) {
 		return nil
 	}
-	if !plan.Fits(c.deadline.Add(-transitTolerance)) {
-		return notRun(model.ReasonLeaving)
-	}
-	c.deadline = plan.Limit(c.deadline)
-	return nil
+	return notRun(model.ReasonLeaving)
+}
+
+// outlastsDrain reports whether a call must be broken off at the end of the drain. The others
+// end at their deadlines.
+func (s *Service) outlastsDrain(c *call) bool {
+	plan := s.drainPlan.Load()
+	return plan == nil || !plan.FitsLate(c.deadline)
 }
 
 // scheduleLeave makes the node not ready, and makes the gate refuse requests once
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -62,11 +62,15 @@
 }
 
 // runContext returns the context in which the request runs on the server: that of the
-// call, which also ends with the node.
+// call, which also ends with the node if it would outlast it.
 func (s *Service) runContext(c *call) (context.Context, context.CancelFunc) {
 	parent, cancelParent := c.context(s.clock)
 	ctx, cancel := context.WithCancelCause(parent)
-	stop := context.AfterFunc(s.ended, func() { cancel(errLeaving) })
+	stop := context.AfterFunc(s.ended, func() {
+		if s.outlastsDrain(c) {
+			cancel(errLeaving)
+		}
+	})
 	return ctx, func() {
 		stop()
 		cancel(nil)
--- a/internal/service/gate/scenario_test.go
+++ b/internal/service/gate/scenario_test.go
@@ -173,7 +173,8 @@
 		must(n.kernel.Loop().Post(t.Context(), control.PresenceChanged{Presence: model.PresenceLeaving}))
 		waitFor(func() bool { return n.gate.Ready() != nil })
 	case "drain": // begins a shutdown that ends after "by"
-		plan := drain.Plan{End: s.clock.Now().Add(after)}
+		end := s.clock.Now().Add(after)
+		plan := drain.Plan{End: end, CloseBy: end.Add(200 * time.Millisecond)}
 		must(n.kernel.Loop().Post(t.Context(), control.DrainStarted{Plan: plan}))
 		must(n.kernel.Loop().Post(t.Context(), control.PresenceChanged{Presence: model.PresenceLeaving}))
 		waitFor(func() bool { return n.gate.Ready() != nil })
