Headers: a caller's time may have decimals

Cause: ParseMilliseconds took whole numbers only.

Change: up to 6 decimals. Signs, exponents, spaces, an empty fraction and 2^32 or more stay invalid.

--- a/internal/frontend/native.go
+++ b/internal/frontend/native.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -36,14 +37,20 @@
 	return CallerRequest{Timeout: timeout}, nil
 }
 
-// ParseMilliseconds parses a positive whole number of milliseconds, below 2^32.
+// ParseMilliseconds parses a positive number of milliseconds, below 2^32, with up to 6
+// decimals. Signs, exponents and spaces are invalid.
 func ParseMilliseconds(text string) (time.Duration, error) {
-	const base, bits = 10, 32
-	n, err := strconv.ParseUint(text, base, bits)
-	if err != nil || n == 0 {
+	const base, bits, decimals = 10, 32, 6
+	whole, fraction, hasFraction := strings.Cut(text, ".")
+	ms, err := strconv.ParseUint(whole, base, bits)
+	var ns uint64
+	if err == nil && hasFraction && len(fraction) <= decimals {
+		ns, err = strconv.ParseUint(fraction+strings.Repeat("0", decimals-len(fraction)), base, bits)
+	}
+	if err != nil || len(fraction) > decimals || hasFraction && fraction == "" || ms == 0 && ns == 0 {
 		return 0, eris.Errorf("%q is not a positive number of milliseconds", text)
 	}
-	return time.Duration(n) * time.Millisecond, nil
+	return time.Duration(ms)*time.Millisecond + time.Duration(ns), nil
 }
 
 // Refuse implements Headers.
