Targets reach servers as the client sent them

Cause: nodes sent the parsed URL again. url.URL encodes characters that must not stand in a path; the gate dropped ForceQuery, which tells an empty query from none.

Change: httpclient.KeepTarget sends a path that url.URL would encode anew as it was received, between nodes and to the server; the gate keeps ForceQuery. Other paths are sent as before. What is routed and refused is unchanged: both already use the path as it was sent.

A path that begins with // and has such characters is still encoded (url.URL would take it for a host).

--- a/internal/service/forward/attempt.go
+++ b/internal/service/forward/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/galenalever/galenalever/internal/decision/retry"
 	"github.com/galenalever/galenalever/internal/decision/route"
 	"github.com/galenalever/galenalever/internal/hop"
+	"github.com/galenalever/galenalever/internal/httpclient"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
@@ -92,6 +93,7 @@
 	target := *q.URL
 	target.Scheme = "http"
 	target.Host = a.endpoint.Address
+	httpclient.KeepTarget(&target)
 	body := q.Body.Open()
 	if q.Body.ExpectContinue() {
 		observer.body = &withheldBody{ReadCloser: body}
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -9,6 +9,7 @@
 	"github.com/galenalever/galenalever/internal/decision/responsematch"
 	"github.com/galenalever/galenalever/internal/frontend"
 	"github.com/galenalever/galenalever/internal/hop"
+	"github.com/galenalever/galenalever/internal/httpclient"
 	"github.com/galenalever/galenalever/internal/model"
 )
 
@@ -105,9 +106,13 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // prevents the transport from adding its own
 	}
+	target := &url.URL{
+		Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
+	}
+	httpclient.KeepTarget(target)
 	out := &http.Request{
 		Method:        r.Method,
-		URL:           &url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
+		URL:           target,
 		Host:          r.Host,
 		Header:        header,
 		ContentLength: r.ContentLength,
