--- a/internal/decision/onewaydelay/onewaydelay_test.go
+++ b/internal/decision/onewaydelay/onewaydelay_test.go
@@ -42,3 +42,35 @@
 		t.Errorf("delay of the second message of the newest sender: %s, want 2s", got)
 	}
 }
+
+// TestDelaysEndAfterASuspension guards against a sender whose messages all count as delayed
+// from then on, because its machine was suspended and its clock stood still.
+func TestDelaysEndAfterASuspension(t *testing.T) {
+	const suspended = 30 * time.Second
+	var e onewaydelay.Estimator
+	late := time.Duration(0)
+	for at := time.Duration(0); at < 10*time.Minute; at += time.Second {
+		sent := at
+		if at > time.Minute {
+			sent -= suspended
+		}
+		if e.Observe(1, sent, at) > 0 {
+			late = at
+		}
+	}
+	if late < time.Minute || late > 3*time.Minute+time.Second {
+		t.Errorf("the last delayed message came after %s, the suspension ended after 1m", late)
+	}
+}
+
+// TestDelayIsMeasuredBeyondAWindow guards against a queue of a link that is taken for the
+// usual time on the way.
+func TestDelayIsMeasuredBeyondAWindow(t *testing.T) {
+	var e onewaydelay.Estimator
+	e.Observe(1, 50*time.Second, 50*time.Second)
+	for at := 51 * time.Second; at < 165*time.Second; at += 500 * time.Millisecond {
+		if got := e.Observe(1, at-2*time.Second, at); got != 2*time.Second {
+			t.Fatalf("delay %s at %s, want 2s", got, at)
+		}
+	}
+}
