Gate: an ID that was refused with 421 counts again once it is listed anew

Cause: the gate keeps the last ID that its server rejected and refuses calls while that ID is listed. A server may start again under its ID after another one at its address answered 421.

Change: the rejection counts until the platform lists the server at a later revision, as it does after each start (born).

Measured: the last step of TestServerIsUsedAgainUnderItsID was refused before, and is answered.

--- a/internal/service/gate/gate.go
+++ b/internal/service/gate/gate.go
@@ -92,10 +92,9 @@
 	// number of slots in the platform's listing, 0 if it names none.
 	withdrawn   atomic.Bool
 	listedSlots atomic.Int64
-	// listedID is the ID under which the platform lists the backend server. goneID
-	// is the last ID that the server rejected as a target. Both hold a
-	// model.InstanceID.
-	listedID, goneID  atomic.Value
+	// listed is the platform's listing of the backend server, and gone the last one whose ID the
+	// server rejected as a target.
+	listed, gone      atomic.Pointer[serverListing]
 	counters          *counters
 	evacuation        evacuation
 	bufferedBytes     atomic.Int64 // total size of the bodies buffered by bufferBody
--- a/internal/service/gate/listing.go
+++ b/internal/service/gate/listing.go
@@ -27,7 +27,7 @@
 			}
 		}
 	}
-	s.listedID.Store(newest.ID)
+	s.listed.Store(&serverListing{id: newest.ID, at: newest.ListedAt})
 	s.applyListedWarmup(newest)
 	s.applyWithdrawal(listed && !present)
 	if slots > 0 && s.listedSlots.Swap(int64(slots)) != int64(slots) {
@@ -49,18 +49,34 @@
 	}
 }
 
+// serverListing identifies a listing of the backend server. The zero value is none.
+type serverListing struct {
+	id model.InstanceID
+	at model.Revision
+}
+
 // target returns the instance that a call is for. The platform may list a newer
 // incarnation of the backend server than the one that the caller's node chose.
 func (s *Service) target(c *call) model.InstanceID {
-	if own, _ := s.listedID.Load().(model.InstanceID); own != "" {
-		return own
+	if own := s.listed.Load(); own != nil && own.id != "" {
+		return own.id
 	}
 	return c.Target
 }
 
+// recordGone records that the backend server has rejected a target.
+func (s *Service) recordGone(target model.InstanceID) {
+	gone := serverListing{id: target}
+	if own := s.listed.Load(); own != nil {
+		gone.at = own.at
+	}
+	s.gone.Store(&gone)
+}
+
 // targetGone reports whether the backend server has rejected the call's target and
-// the platform does not list its successor yet.
+// the platform lists neither its successor nor the target again since: a server may start
+// again under its ID.
 func (s *Service) targetGone(c *call) bool {
-	gone, _ := s.goneID.Load().(model.InstanceID)
-	return gone != "" && s.target(c) == gone
+	gone, own := s.gone.Load(), s.listed.Load()
+	return gone != nil && gone.id != "" && s.target(c) == gone.id && (own == nil || own.at <= gone.at)
 }
--- a/internal/service/gate/run.go
+++ b/internal/service/gate/run.go
@@ -85,7 +85,7 @@
 	switch {
 	case result.Misdirected:
 		s.log.Info("backend server was replaced by another instance", "request", c.ID, "instance_gone", target)
-		s.goneID.Store(target)
+		s.recordGone(target)
 		s.markUncounted(c)
 		s.dropReplicas(c)
 		s.endNotRun(c, notRun(model.ReasonServerRefused))
--- a/internal/service/gate/warmup_test.go
+++ b/internal/service/gate/warmup_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -199,6 +200,27 @@
 	}
 }
 
+// TestServerIsUsedAgainUnderItsID guards against refusing all requests of a server that starts
+// again under an ID which another server at its address has rejected.
+func TestServerIsUsedAgainUnderItsID(t *testing.T) {
+	c := startColdNode(t)
+	c.list(1, 0)
+	c.server.misdirect.Store(true)
+	for _, want := range []string{"not-run server-refused (503)", "not-run no-server (503)"} {
+		if result := <-c.send(false); result != want {
+			t.Errorf("%s, want %s", result, want)
+		}
+	}
+	c.server.misdirect.Store(false)
+	if result := <-c.send(false); result != "not-run no-server (503)" {
+		t.Errorf("before the platform lists the server again: %s", result)
+	}
+	c.list(2, 0)
+	if result := <-c.send(false); !strings.HasPrefix(result, "answered") {
+		t.Errorf("after the platform has listed the server again: %s", result)
+	}
+}
+
 // TestColdAssumptionEndsWithHealthResponse guards against full load at a server of a
 // domain that returns from an evacuation, and against one that stays throttled after it
 // has stated that it is warm.
