Tests: connections beyond the limit: a starved client is not a stalled one

Cause: the account may close a connection that sends nothing for Grace, 100 ms in this test, once others need its room.

Ruled out: a fault in what the test guards, connections kept idle beyond the limit.

Change: the graces are the clients' own timeout, so that only a lost or stuck request fails the test. It is as strict for what it guards: if no connection is closed after its response (KeptConnections 8), it fails with either grace.

--- a/internal/occupancy/occupancy_test.go
+++ b/internal/occupancy/occupancy_test.go
@@ -202,16 +202,20 @@
 // room of others for all of a long IdleGrace, and against requests that are lost because a
 // connection is closed while its client uses it again: the bodies cannot be sent twice.
 func TestConnectionsBeyondTheLimitAreNotKept(t *testing.T) {
-	const nodes, requests = 12, 40
+	const (
+		nodes, requests = 12, 40
+		timeout         = 5 * time.Second
+	)
 	kept := limits
 	kept.Connections, kept.KeptConnections, kept.IdleGrace = 8, 2, time.Hour
+	kept.Grace, kept.OpenGrace = timeout, timeout // a client that gets no processor time is not one that sends nothing
 	account, address := serveWithin(t, kept, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
 	var group sync.WaitGroup
 	for range nodes {
 		group.Go(func() {
 			transport := &http.Transport{}
 			t.Cleanup(transport.CloseIdleConnections)
-			client := &http.Client{Transport: transport, Timeout: 5 * time.Second}
+			client := &http.Client{Transport: transport, Timeout: timeout}
 			for range requests {
 				response, err := client.Post("http://"+address, "", io.MultiReader(strings.NewReader("offer")))
 				if err != nil {
