review: a crashing request with fresh Idempotency-Keys is never quarantined

Case 14 sends the same request, which crashes each worker that runs it, once a second at six nodes, each time with a new Idempotency-Key header.

--- a/review/mesh-3/main.go
+++ b/review/mesh-3/main.go
@@ -26,6 +26,8 @@
 	"return-hold":  returnHold,
 	"return-fresh": returnFresh,
 	"shared-key":   sharedKey,
+	"poison-key":   poisonKey,
+	"poison-leave": poisonLeave,
 }
 
 func main() { os.Exit(play()) }
--- a/review/mesh-3/worker.go
+++ b/review/mesh-3/worker.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -61,12 +62,18 @@
 	runs                       *runs
 	// work returns how long a request takes.
 	work func(r *http.Request) time.Duration
+	// crashes reports whether a request ends the worker after its work. Such a worker does not
+	// drop the request when its connection closes. back is how long it is down then.
+	crashes func(r *http.Request) bool
+	back    time.Duration
+	server  *http.Server
 
 	born     int64
 	mu       sync.Mutex
 	sequence int
 	state    string
 	silent   bool
+	beating  sync.Once
 	busy     chan struct{}
 	queued   chan struct{}
 }
@@ -82,10 +89,11 @@
 	}
 	w.born, w.state, w.sequence = time.Now().UnixMilli(), "ready", 0
 	w.busy, w.queued = make(chan struct{}, w.slots), make(chan struct{}, w.slots+24)
-	server := &http.Server{Handler: w, ReadHeaderTimeout: time.Minute, IdleTimeout: 10 * time.Second}
+	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute, IdleTimeout: 10 * time.Second}
+	server := w.server
 	go func() { _ = server.Serve(listener) }()
 	w.write()
-	go w.beat()
+	w.beating.Do(func() { go w.beat() })
 	return nil
 }
 
@@ -98,17 +106,36 @@
 	for {
 		select {
 		case <-ticker.C:
-			if !w.isSilent() && !w.store.renew("servers/"+w.id) {
+			if !w.isSilent() && !w.store.renew("servers/"+w.currentID()) {
 				w.write()
 			}
 		case <-check.C:
-			if !w.isSilent() && !w.store.has("servers/"+w.id, w.entryState()) {
+			if !w.isSilent() && !w.store.has("servers/"+w.currentID(), w.entryState()) {
 				w.write()
 			}
 		}
 	}
 }
 
+// setWork replaces what requests do.
+func (w *worker) setWork(work func(*http.Request) time.Duration, crashes func(*http.Request) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.work, w.crashes = work, crashes
+}
+
+func (w *worker) behaviour(r *http.Request) (work time.Duration, crashes bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.work(r), w.crashes != nil && w.crashes(r)
+}
+
+func (w *worker) currentID() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.id
+}
+
 func (w *worker) isSilent() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -138,6 +165,27 @@
 	return w.store.remove("servers/" + w.id)
 }
 
+// crash ends the worker with all its connections. It starts again under another ID.
+func (w *worker) crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.silent {
+		return // another request has ended it
+	}
+	w.silent = true
+	_ = w.server.Close()
+	time.AfterFunc(w.back, w.restart)
+}
+
+func (w *worker) restart() {
+	w.mu.Lock()
+	w.id, w.silent = fmt.Sprintf("i-%08x", rand.Uint32()), false
+	w.mu.Unlock()
+	if err := w.start(); err != nil {
+		time.AfterFunc(100*time.Millisecond, w.restart)
+	}
+}
+
 // has reports whether an entry of a worker in the state is stored, or nobody can tell.
 func (s *store) has(key, state string) bool {
 	s.mu.Lock()
@@ -160,15 +208,16 @@
 
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	self := w.currentID()
 	if r.URL.Path == "/health" {
-		rw.Header().Set("Galenalever-Instance-Id", w.id)
+		rw.Header().Set("Galenalever-Instance-Id", self)
 		if w.entryState() != "ready" {
 			rw.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
-	if target := r.Header.Get("Galenalever-Target-Instance"); target != "" && target != w.id {
-		rw.Header().Set("Galenalever-Instance-Id", w.id)
+	if target := r.Header.Get("Galenalever-Target-Instance"); target != "" && target != self {
+		rw.Header().Set("Galenalever-Instance-Id", self)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -202,13 +251,20 @@
 	}
 	digest := sha256.Sum256(body)
 	entry := &run{
-		Attempt: id, Worker: w.id, Service: w.service, Caller: r.Header.Get("Galenalever-Caller-Service"),
+		Attempt: id, Worker: self, Service: w.service, Caller: r.Header.Get("Galenalever-Caller-Service"),
 		Method: r.Method, URI: r.RequestURI, Body: hex.EncodeToString(digest[:4]), Begin: time.Now(),
 	}
 	w.runs.add(entry)
+	work, crashes := w.behaviour(r)
+	if crashes {
+		time.Sleep(work)
+		w.runs.end(entry, 0, false)
+		w.crash()
+		return
+	}
 	status := http.StatusOK
 	select {
-	case <-time.After(w.work(r)):
+	case <-time.After(work):
 	case <-deadline:
 		status = http.StatusGatewayTimeout
 	case <-r.Context().Done():
@@ -216,7 +272,7 @@
 		return
 	}
 	w.runs.end(entry, status, false)
-	answer := answerOf(entry.Seal, id, w.id)
+	answer := answerOf(entry.Seal, id, self)
 	h := rw.Header()
 	h.Set("Galenalever-Attempt-Id", id)
 	h.Set("Galenalever-Response-Seal", entry.Seal)
