--- a/review/mesh-3/mesh.go
+++ b/review/mesh-3/mesh.go
@@ -109,14 +109,14 @@
 		return nil, err
 	}
 	n.settings = filepath.Join(m.dir, n.name+".toml")
-	if err := os.WriteFile(n.settings, []byte(m.settings(n, host)), 0o600); err != nil {
+	if err := os.WriteFile(n.settings, []byte(m.settings(n)), 0o600); err != nil {
 		return nil, err
 	}
 	m.nodes = append(m.nodes, n)
 	return n, n.start()
 }
 
-func (m *mesh) settings(n *node, host int) string {
+func (m *mesh) settings(n *node) string {
 	return fmt.Sprintf(`node = %q
 role = "node"
 class = "sidecar"
@@ -163,7 +163,7 @@
 value_bytes = 1048576
 ttl_min_ms = 1000
 `, n.name, n.ip, n.zone, m.port+portControl, m.port+portControl, n.worker.address, n.service,
-		m.address(host, portInbound), m.address(host, portOutbound), m.address(host, portReady), m.address(1, portStore))
+		n.at(portInbound), n.at(portOutbound), n.at(portReady), m.address(1, portStore))
 }
 
 // start starts the process of the system with the command of the deploy file.
@@ -197,7 +197,9 @@
 func (n *node) signal(s os.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	_ = n.command.Process.Signal(s)
+	if n.command.Process != nil { // it did not start
+		_ = n.command.Process.Signal(s)
+	}
 }
 
 // await waits for the end of the process.
@@ -205,11 +207,15 @@
 	n.mu.Lock()
 	done := n.done
 	n.mu.Unlock()
-	<-done
+	if done != nil {
+		<-done
+	}
 }
 
 // outbound returns the address for clients.
-func (n *node) outbound() string { return fmt.Sprintf("%s:%d", n.ip, n.mesh.port+portOutbound) }
+func (n *node) outbound() string { return n.at(portOutbound) }
+
+func (n *node) at(port int) string { return fmt.Sprintf("%s:%d", n.ip, n.mesh.port+port) }
 
 // stop ends all processes.
 func (m *mesh) stop() {
--- a/review/mesh-3/returns.go
+++ b/review/mesh-3/returns.go
@@ -130,7 +130,7 @@
 				} `json:"exchange"`
 			} `json:"sections"`
 		}
-		response, err := http.Get(fmt.Sprintf("http://%s:%d/status", n.ip, m.port+portReady))
+		response, err := http.Get("http://" + n.at(portReady) + "/status")
 		if err != nil {
 			return nil, err
 		}
