review: uploads run after their clients have left

Case 15 sends uploads in chunks to a busy service, and a fifth of the clients leaves after half of the objective. A node keeps only the first 64 KiB of such a body until the upload has a slot, so it does not notice that the connection has ended (rule GONE).

--- a/review/mesh-3/main.go
+++ b/review/mesh-3/main.go
@@ -26,6 +26,7 @@
 	"return-hold":  returnHold,
 	"return-fresh": returnFresh,
 	"shared-key":   sharedKey,
+	"upload-leave": uploadLeave,
 	"poison-key":   poisonKey,
 	"poison-leave": poisonLeave,
 }
--- a/review/mesh-3/returns.go
+++ b/review/mesh-3/returns.go
@@ -43,12 +43,15 @@
 }
 
 // lateArrivals returns the requests that reached a worker later than drain_ms after it was
-// gone, from machines in touch: not within the stable window after the return of the store.
+// gone, from machines in touch: not within the stable window after the return of the store
+// or the start of the node that took the request.
 func lateArrivals(m *mesh, worker string, gone, returned time.Time, started map[string]time.Time) []string {
 	from := make(map[string]answer)
+	m.mu.Lock()
 	for _, a := range m.answers {
 		from[a.Attempt] = a
 	}
+	m.mu.Unlock()
 	var findings []string
 	for _, r := range m.runs.all() {
 		if r.Worker != worker || !r.Begin.After(gone.Add(drainTime)) {
--- a/review/mesh-3/worker.go
+++ b/review/mesh-3/worker.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -303,6 +304,8 @@
 	// attempt in its header and in its body.
 	Seal, AnswerID string
 	OwnAnswer      bool
+	// RetryAfter is when the client may come again.
+	RetryAfter time.Duration
 }
 
 // clientConn is a client's connection to a node.
@@ -324,7 +327,19 @@
 	method, uri, host string
 	header            map[string]string
 	body              []byte
-	deadline          time.Duration
+	// chunked sends the body in chunks.
+	chunked  bool
+	deadline time.Duration
+}
+
+// chunks returns a body in the chunked encoding.
+func chunks(body []byte) []byte {
+	const size = 16 << 10
+	var out []byte
+	for piece := range slices.Chunk(body, size) {
+		out = fmt.Appendf(out, "%x\r\n%s\r\n", len(piece), piece)
+	}
+	return append(out, "0\r\n\r\n"...)
 }
 
 // send makes one attempt on a connection.
@@ -335,7 +350,11 @@
 	for name, value := range q.header {
 		head += name + ": " + value + "\r\n"
 	}
-	if len(q.body) > 0 || q.method == http.MethodPost {
+	switch {
+	case q.chunked:
+		head += "Transfer-Encoding: chunked\r\n"
+		q.body = chunks(q.body)
+	case len(q.body) > 0 || q.method == http.MethodPost:
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(q.body))
 	}
 	_ = c.SetDeadline(time.Now().Add(q.deadline + 200*time.Millisecond))
@@ -363,6 +382,9 @@
 	}
 	a.Status = response.StatusCode
 	a.Seal, a.AnswerID = response.Header.Get("Galenalever-Response-Seal"), response.Header.Get("Galenalever-Attempt-Id")
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+		a.RetryAfter = time.Duration(seconds * float64(time.Second))
+	}
 	a.OwnAnswer = a.AnswerID == a.Attempt && bytes.Contains(body, []byte(" "+a.Attempt+" "))
 	return nil
 }
