Exchange: log which nodes a node polls

The log told which upstream had failed and which one was confirmed, but not which nodes a node polled meanwhile, whether it read the platform at that time, and whether it counted as informed. A node that waits for silent upstreams and one that is told by responding ones that all is well looked alike, so two hypotheses of the incident in docs/incidents could not be told apart.

A line for each change of the polled nodes, in direct mode.

--- a/internal/service/exchange/planner.go
+++ b/internal/service/exchange/planner.go
@@ -216,6 +216,10 @@
 		return
 	}
 	s.role.Store(next)
+	if next.upstreams != old.upstreams && s.config.Direct {
+		s.log.Info("polled peers changed", "first", next.upstreams[0].name(), "second", next.upstreams[1].name(),
+			"reader", next.reader, "scope", next.scope.String(), "informed", s.informed())
+	}
 	if next.upstreams[0] != old.upstreams[0] && !s.config.Direct {
 		s.timeline.Record(timeline.KindUpstreamChanged, next.upstreams[0].name())
 	}
