Exchange: a node whose upstreams are silent polls random nodes

Callers saw 404 on routes that had been acknowledged for longer than the time in which a change must be in force, at nodes that nothing disturbed.

Cause: a node follows two nodes. If both fall silent as a version is written, the node waits for the time limit of its polls (2.1 s of the 2.5 s that a change may take), then polls the next two, which may be silent, too. After 1.5 s it also reads the store, which sends the whole document: 0.8 s on an idle link of 7.7 Mbit/s, several seconds on a loaded one. Detection, replacement and transfer follow one another, and their sum exceeds the bound.

Ruled out: a shorter time limit of polls (on loaded links responses take that long, and dropping them repeats the transfer); following more nodes (each change then costs more in calm); being informed by any node found (two nodes that found each other would take old state for current).

Now such a node polls random nodes of all failure domains until it is informed again. A poll of one node carries only what changed, so a slow link takes it at once. Nothing changes while upstreams respond and are in contact.

--- a/internal/decision/rank/follow_test.go
+++ b/internal/decision/rank/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -273,3 +274,25 @@
 		t.Error("a reader follows a node that follows others")
 	}
 }
+
+// TestRandomNodeIsNeitherSelfNorExcluded guards against a node that polls itself or an
+// upstream that does not respond, when it looks for others.
+func TestRandomNodeIsNeitherSelfNorExcluded(t *testing.T) {
+	view := viewOfListed(2, "jkt")
+	view, _ = view.With(listed(2, "smg"))
+	gone := listed(3, "smg")
+	gone.Listed = model.ListingRemoved
+	view, _ = view.With(gone)
+	me := self(0)
+	me.ID = "node-0" // the platform lists servers under IDs that their nodes do not know
+	rng := rand.New(rand.NewPCG(1, 1))
+	excluded := func(id model.InstanceID) bool { return id == self(1).ID }
+	for range 50 {
+		if m, ok := rank.RandomNode(view, me, excluded, rng); !ok || m.ID != self(2).ID {
+			t.Fatalf("got %q, %t", m.ID, ok)
+		}
+	}
+	if m, ok := rank.RandomNode(viewOfListed(2, "jkt"), me, excluded, rng); ok {
+		t.Errorf("got %q although there is no other node", m.ID)
+	}
+}
--- a/internal/decision/rank/partners.go
+++ b/internal/decision/rank/partners.go
@@ -76,6 +76,23 @@
 	return *candidates[rng.IntN(len(candidates))], true
 }
 
+// RandomNode returns a random eligible node of any failure domain, except self and the
+// excluded ones. It is for a mesh whose nodes do not announce themselves, so it recognises
+// self by its address. It returns false if there is none.
+func RandomNode(view *members.View, self model.Self, excluded Excluded, rng *rand.Rand) (model.Member, bool) {
+	var candidates []*model.Member
+	for _, domain := range view.Domains() {
+		candidates = append(candidates, eligibleInDomain(view, domain)...)
+	}
+	candidates = slices.DeleteFunc(candidates, func(m *model.Member) bool {
+		return m.Addresses.Control == self.Addresses.Control || excluded(m.ID)
+	})
+	if len(candidates) == 0 {
+		return model.Member{}, false
+	}
+	return *candidates[rng.IntN(len(candidates))], true
+}
+
 func withoutSelf(list []model.Member, self model.Self) []model.Member {
 	return slices.DeleteFunc(list, func(m model.Member) bool { return m.ID == self.ID })
 }
--- a/internal/distribution/direct_test.go
+++ b/internal/distribution/direct_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,12 +32,14 @@
 	}
 	directPollTimes = exchange.PollTimes{
 		Wait: 750 * time.Millisecond, Margin: 1500 * time.Millisecond, Coalesce: 20 * time.Millisecond,
-		MaxSilence: 1800 * time.Millisecond,
+		MaxSilence: 1800 * time.Millisecond, SearchAfter: 1200 * time.Millisecond,
 	}
 )
 
 const (
-	// directCallTimeout is the time after which a call fails if the platform is silent.
+	// callTimeout is the time after which a call that cannot reach the platform fails, and
+	// directCallTimeout that of a direct mesh.
+	callTimeout       = 5 * time.Second
 	directCallTimeout = time.Second
 	// directMaxStale is watchdog.Config.MaxStale.
 	directMaxStale = 1500 * time.Millisecond
@@ -53,10 +56,10 @@
 	n.watchdog = watchdog.New(watchdog.Config{MaxStale: directMaxStale})
 	n.config = config.New(0)
 	n.exchange = exchange.New(exchange.Config{
-		Self: self, Dial: m.dialer(n), RandomSeed: seed, Direct: true, PollTimes: directPollTimes, Bandwidth: m.bandwidth(self),
+		Self: self, Dial: m.dialer(n), RandomSeed: seed, Direct: true, PollTimes: m.pollTimes, Bandwidth: m.bandwidth(self),
 	})
 	n.run(m, source.New(source.Config{
-		Self: self, Platform: &platformClient{mesh: m, node: n}, Parse: document.NewSubtree, RandomSeed: seed, Pacing: directPacing,
+		Self: self, Platform: &platformClient{mesh: m, node: n}, Parse: document.NewSubtree, RandomSeed: seed, Pacing: m.pacing,
 	}))
 	return n
 }
@@ -105,6 +108,43 @@
 	return fmt.Sprintf("%d readers", len(readers))
 }
 
+// disturbSources makes the first nodes of a domain, in the order in which they follow each
+// other, silent to other nodes, or makes their calls for keys hang. The order begins with
+// the readers and those that would take their places.
+func (s *script) disturbSources(d *datadriven.TestData) string {
+	var domain string
+	var count int
+	d.ScanArgs(s.t, "domain", &domain)
+	d.ScanArgs(s.t, "count", &count)
+	var addresses []string
+	for _, n := range s.mesh.nodes {
+		if string(n.self.Domain) == domain {
+			addresses = append(addresses, n.self.Addresses.Control)
+		}
+	}
+	rank.SortAddresses(addresses)
+	s.sources = nil
+	s.mesh.mu.Lock()
+	defer s.mesh.mu.Unlock()
+	for _, address := range addresses[:count] {
+		n := s.mesh.byAddress[address]
+		s.sources = append(s.sources, n)
+		s.mesh.silentNodes[n.self.ID] = d.HasArg("silent")
+		s.mesh.withoutKeys[n.self.ID] = d.HasArg("keys-silent")
+	}
+	return fmt.Sprintf("%d of %d nodes", count, len(addresses))
+}
+
+// othersConverged waits until every node that disturbSources has not disturbed runs the
+// newest revision of all documents.
+func (s *script) othersConverged(d *datadriven.TestData) string {
+	return s.waitUntilNone(d, "others converged", func() int {
+		return s.mesh.countNodes(func(n *node) bool {
+			return !slices.Contains(s.sources, n) && n.behind(s.mesh.platform.revision)
+		})
+	})
+}
+
 // drainServer makes the platform list a server as leaving.
 func (s *script) drainServer(d *datadriven.TestData) {
 	var id string
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -25,7 +25,8 @@
 //
 //	mesh nodes=N domains=A+B limit=N teams=N  start a mesh; limit is in platform calls per second;
 //	                                          with "direct", nodes follow each other (exchange.Config.Direct);
-//	                                          with "slow-links", few links can carry the configuration
+//	                                          with "slow-links", few links can carry the configuration, and the
+//	                                          whole takes the time of "transfer" on the others
 //	publish [count=N every=TIME]              publish new versions of random teams' documents
 //	supersede after=TIME                      publish a good version, then an invalid one
 //	run for=TIME                              let the time pass
@@ -40,6 +41,10 @@
 //	synchronised, announcements during=TIME   count messages while the time passes
 //	readers domain=A [kill|cut|silent]        disturb the readers of a domain in a direct mesh; without an
 //	                                          argument, end the disturbance of the present ones
+//	sources domain=A count=N [silent|keys-silent]  the same for the first nodes in the order in which they follow
+//	                                          each other: they do not respond to other nodes, or get no
+//	                                          configuration from the platform
+//	others-converged within=TIME              as converged, without the nodes in which the last command resulted
 //	drain instance=ID                         list a server as leaving
 //	calls during=TIME most=N                  compare the number of platform calls with a limit
 //	check                                     report reversions and the rate of platform calls
@@ -59,6 +64,8 @@
 	t    *testing.T
 	rng  *rand.Rand
 	mesh *mesh
+	// sources are the nodes that disturbSources has disturbed.
+	sources []*node
 	// teams is the number of teams, publishedVersions the number of versions of their
 	// documents published so far.
 	teams, publishedVersions int
@@ -110,6 +117,10 @@
 		return s.absent(d)
 	case "readers":
 		return s.disturbReaders(d)
+	case "sources":
+		return s.disturbSources(d)
+	case "others-converged":
+		return s.othersConverged(d)
 	case "drain":
 		s.drainServer(d)
 	case "calls":
@@ -154,6 +165,12 @@
 	}
 	s.mesh = newMesh(domains, limit)
 	s.mesh.direct, s.mesh.slowLinks = d.HasArg("direct"), d.HasArg("slow-links")
+	if s.mesh.direct {
+		s.mesh.callTimeout = directCallTimeout
+	}
+	if d.HasArg("transfer") {
+		s.mesh.slowTransfer = duration(s.t, d, "transfer")
+	}
 	s.teams = teams
 	s.mesh.publish(model.RootKey, rootDocument(teams))
 	for i := range teams {
--- a/internal/distribution/mesh_test.go
+++ b/internal/distribution/mesh_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/galenalever/galenalever/internal/clock"
 	"github.com/galenalever/galenalever/internal/model"
+	"github.com/galenalever/galenalever/internal/service/exchange"
 	"github.com/galenalever/galenalever/internal/service/source"
 )
 
@@ -34,9 +35,17 @@
 	cutNodes        map[model.InstanceID]bool
 	// silentNodes do not respond to other nodes.
 	silentNodes map[model.InstanceID]bool
+	// withoutKeys is the set of nodes to which the platform does not list keys.
+	withoutKeys map[model.InstanceID]bool
 	// direct is exchange.Config.Direct of all nodes. With slowLinks, only the links of a
 	// few nodes can carry the configuration.
 	direct, slowLinks bool
+	// pacing and pollTimes are those of the nodes of a direct mesh. slowTransfer is how
+	// long the whole configuration takes on a slow link.
+	pacing       source.Pacing
+	pollTimes    exchange.PollTimes
+	slowTransfer time.Duration
+	callTimeout  time.Duration
 	// lastRevisions holds the newest revisions that each instance has run, in any
 	// process.
 	lastRevisions map[model.InstanceID]map[model.Key]model.Revision
@@ -62,6 +71,10 @@
 		withoutPlatform: make(map[model.FailureDomain]bool),
 		cutNodes:        make(map[model.InstanceID]bool),
 		silentNodes:     make(map[model.InstanceID]bool),
+		withoutKeys:     make(map[model.InstanceID]bool),
+		pacing:          directPacing,
+		pollTimes:       directPollTimes,
+		callTimeout:     callTimeout,
 		lastRevisions:   make(map[model.InstanceID]map[model.Key]model.Revision),
 		bytesPerNode:    make(map[model.InstanceID]uint64),
 	}
--- a/internal/distribution/network_test.go
+++ b/internal/distribution/network_test.go
@@ -86,6 +86,9 @@
 	if e.from.self.Domain != to.self.Domain {
 		delay = remoteDelay
 	}
+	if r, ok := message.(*wire.PollResponse); ok && e.mesh.bandwidth(e.from.self) > 0 && wholeConfiguration(r) {
+		delay += e.mesh.slowTransfer / compression
+	}
 	_ = clock.Wait(ctx, e.mesh.clock, delay)
 	switch {
 	case !e.from.alive() || !to.alive():
@@ -98,6 +101,18 @@
 	return ctx.Err()
 }
 
+// compression is the factor by which a whole configuration is compressed between nodes.
+const compression = 3
+
+func wholeConfiguration(r *wire.PollResponse) bool {
+	for _, s := range r.GetSubtrees() {
+		if s.GetBase() == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *mesh) silent(n *node) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/distribution/platform_test.go
+++ b/internal/distribution/platform_test.go
@@ -10,9 +10,6 @@
 	"github.com/galenalever/galenalever/internal/service/source"
 )
 
-// callTimeout is the time after which a call that cannot reach the platform fails.
-const callTimeout = 5 * time.Second
-
 // platform simulates the platform's configuration service, with a limit on the calls
 // per second. The mesh's lock guards it.
 type platform struct {
@@ -81,11 +78,7 @@
 func (c *platformClient) deliver(ctx context.Context) error {
 	_ = clock.Wait(ctx, c.mesh.clock, remoteDelay)
 	c.mesh.mu.Lock()
-	unreachable := c.mesh.withoutPlatform[c.node.self.Domain] || c.mesh.cutNodes[c.node.self.ID]
-	timeout := callTimeout
-	if c.mesh.direct {
-		timeout = directCallTimeout
-	}
+	unreachable, timeout := c.unreachable(), c.mesh.callTimeout
 	c.mesh.mu.Unlock()
 	if !unreachable {
 		return nil
@@ -132,12 +125,44 @@
 	return p.revision
 }
 
+// transferKeys takes the time of the values that follow a revision: the platform sends each
+// changed value whole. If the node is cut off meanwhile, the response is lost, and the call
+// fails at its time limit.
+func (c *platformClient) transferKeys(ctx context.Context, after model.Revision, limit time.Time) error {
+	c.mesh.mu.Lock()
+	changed := c.mesh.platform.visibleRevision() > after
+	c.mesh.mu.Unlock()
+	if changed && c.mesh.bandwidth(c.node.self) > 0 {
+		_ = clock.Wait(ctx, c.mesh.clock, c.mesh.slowTransfer)
+	}
+	c.mesh.mu.Lock()
+	lost := c.unreachable() || c.mesh.withoutKeys[c.node.self.ID]
+	c.mesh.mu.Unlock()
+	if !lost {
+		return nil
+	}
+	ctx, cancel := clock.WithTimeout(ctx, c.mesh.clock, limit.Sub(c.mesh.clock.Now()))
+	defer cancel()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// unreachable reports whether the platform does not get the node's calls. The caller must
+// hold the mesh's lock.
+func (c *platformClient) unreachable() bool {
+	return c.mesh.withoutPlatform[c.node.self.Domain] || c.mesh.cutNodes[c.node.self.ID]
+}
+
 // Keys implements source.Platform.
 func (c *platformClient) Keys(ctx context.Context, after model.Revision, wait time.Duration) (source.KeyListing, error) {
+	limit := c.mesh.clock.Now().Add(wait + c.mesh.callTimeout)
 	if err := c.longPoll(ctx, wait, func(p *platform) bool { return p.visibleRevision() > after }); err != nil {
 		return source.KeyListing{}, err
 	}
 	_ = clock.Wait(ctx, c.mesh.clock, remoteDelay)
+	if err := c.transferKeys(ctx, after, limit); err != nil {
+		return source.KeyListing{}, err
+	}
 	c.mesh.mu.Lock()
 	defer c.mesh.mu.Unlock()
 	out := source.KeyListing{Revision: c.mesh.platform.visibleRevision()}
--- a/internal/service/exchange/exchange.go
+++ b/internal/service/exchange/exchange.go
@@ -67,6 +67,10 @@
 	// MaxSilence is how long after the last response of the nodes that it follows a
 	// node reads the platform itself. It is used in direct mode only.
 	MaxSilence time.Duration
+	// SearchAfter is how long after the last response of the nodes that it follows a node
+	// polls others to learn of changes. It is used in direct mode only and is longer than
+	// Wait and a round trip.
+	SearchAfter time.Duration
 }
 
 // DefaultPollTimes suit a large mesh in which changes may take seconds to arrive.
@@ -141,6 +145,8 @@
 	role         *kernel.Snapshot[role]
 	synchronised *kernel.Snapshot[uint64]
 	contact      *kernel.Snapshot[model.PlatformContact]
+	// searchRate is written on the control loop.
+	searchRate *kernel.Snapshot[searchRate]
 	// known is a copy of following.knownRevision for other goroutines. links is what
 	// polls tell other nodes about links, nil outside of direct mode.
 	known   atomic.Uint64
@@ -163,6 +169,7 @@
 		role:         kernel.NewSnapshot(role{}),
 		synchronised: kernel.NewSnapshot[uint64](0),
 		contact:      kernel.NewSnapshot(model.ContactNone),
+		searchRate:   kernel.NewSnapshot(searchOff),
 		repair:       kernel.NewSnapshot(repair{}),
 		planner: planner{
 			exclusions: rank.NewExclusions(),
@@ -249,6 +256,7 @@
 		s.tasks.Go(func() { s.runPoller(ctx, index) })
 	}
 	if s.config.Direct {
+		s.tasks.Go(func() { s.runSearch(ctx) })
 		return s.loop.Post(ctx, replan{})
 	}
 	s.outbox.start(ctx)
--- a/internal/service/exchange/follow.go
+++ b/internal/service/exchange/follow.go
@@ -46,6 +46,14 @@
 	// reached is true while the platform responds to this node. It is false while the
 	// node reads nothing.
 	reached bool
+	// reachedAt is when reached became true.
+	reachedAt time.Time
+	// respondedAt is when an upstream last responded. This node polls no random nodes before
+	// searchFrom.
+	respondedAt time.Time
+	searchFrom  time.Time
+	// searchCheckScheduled is true while the timer of a searchCheck message runs.
+	searchCheckScheduled bool
 	// unreachable is true from a failed call to the platform until the next successful
 	// one, or until the node has followed others since. failedAt is when a call last
 	// failed. Until readAfter, which is set after an outage, a node with a slow link reads
@@ -71,6 +79,9 @@
 		return
 	}
 	f := &s.planner.following
+	if m.Reached && !f.reached {
+		f.reachedAt = s.clock.Now()
+	}
 	f.reached = m.Reached
 	if !m.Reached {
 		f.failedAt = s.clock.Now()
@@ -85,6 +96,11 @@
 	s.updateRole()
 }
 
+// current reports whether this node knows the state of the platform from the platform itself.
+func (f *following) current(r role) bool {
+	return r.scope == control.ReadAll && f.reached
+}
+
 func (s *Service) measureConfiguration(c *model.Configuration) {
 	size := 0
 	for _, subtree := range c.Running {
@@ -150,9 +166,9 @@
 	f := &s.planner.following
 	contact := model.ContactLost
 	switch {
-	case r.scope == control.ReadAll && f.reached && r.interim:
+	case f.current(r) && r.interim:
 		contact = model.ContactInterim
-	case r.scope == control.ReadAll && f.reached:
+	case f.current(r):
 		contact = model.ContactCurrent
 	case s.informed():
 		contact = model.ContactRelayed
@@ -179,10 +195,7 @@
 		if current.reader && m.contact == model.ContactCurrent {
 			f.wideLinks[m.from.address] = s.clock.Now() // only nodes with wide links report this contact
 		}
-		if c := s.configuration.Load(); c != nil && c.Cut.Revision >= m.cutRevision {
-			f.knownRevision = max(f.knownRevision, m.platformRevision)
-			s.known.Store(uint64(f.knownRevision))
-		}
+		s.learnRevision(m)
 		s.loop.After(s.config.PollTimes.MaxSilence, silenceCheck{})
 		s.updateRole()
 		return true
@@ -200,6 +213,16 @@
 	return false
 }
 
+// learnRevision records the revision up to which a peer knew all changes, if this node has
+// applied its response.
+func (s *Service) learnRevision(m pollDone) {
+	f := &s.planner.following
+	if c := s.configuration.Load(); c != nil && c.Cut.Revision >= m.cutRevision {
+		f.knownRevision = max(f.knownRevision, m.platformRevision)
+		s.known.Store(uint64(f.knownRevision))
+	}
+}
+
 // silenceCheck is the timer message that may end the time in which this node is
 // informed.
 type silenceCheck struct{}
--- a/internal/service/exchange/planner.go
+++ b/internal/service/exchange/planner.go
@@ -114,6 +114,7 @@
 	kernel.Subscribe(loop, s.handleResend)
 	kernel.Subscribe(loop, func(reannounce) { s.handleReannounce() })
 	kernel.Subscribe(loop, func(silenceCheck) { s.handleSilenceCheck() })
+	kernel.Subscribe(loop, func(searchCheck) { s.handleSearchCheck() })
 	kernel.Subscribe(loop, s.handlePolled)
 	kernel.Subscribe(loop, func(linkCheck) { s.handleLinkCheck() })
 	kernel.Subscribe(loop, s.handlePlatformReached)
@@ -142,6 +143,9 @@
 	}
 	if !s.planner.configured && m.Configuration.Cut.Revision > 0 {
 		s.planner.configured = true
+		if s.config.Direct {
+			s.startSearches()
+		}
 		s.updateRole()
 	}
 }
@@ -211,6 +215,7 @@
 			s.planner.following.reached, s.planner.following.unreachable = false, false // until the first call
 		}
 		s.updateContact(next)
+		s.updateSearch(next)
 	}
 	if next == old {
 		return
--- a/internal/service/exchange/poll.go
+++ b/internal/service/exchange/poll.go
@@ -25,6 +25,8 @@
 	// compare requests a comparison of the members by digests. The position in the
 	// peer's member log is neither sent nor stored.
 	compare bool
+	// search is true for a poll of a random node; see runSearch.
+	search bool
 	// offered is control.DeltaReceived.Offered.
 	offered [][]replicate.SubtreeDelta
 	// upstreamIndex is the index of the peer in role.upstreams.
@@ -149,7 +151,7 @@
 		from: p, upstreamIndex: options.upstreamIndex, generation: options.generation,
 		contact: wireconv.ContactFromWire(response.GetContact()), platformRevision: model.Revision(response.GetPlatformRevision()),
 		cutRevision: delta.Revision, handled: make(chan struct{}),
-		withoutMembers: response.GetMemberEpoch() == 0,
+		withoutMembers: response.GetMemberEpoch() == 0, search: options.search,
 	}
 	if err := s.loop.PostAndWait(ctx, done.handled, append(messages, done)...); err != nil {
 		return err
--- a/internal/service/exchange/results.go
+++ b/internal/service/exchange/results.go
@@ -23,6 +23,8 @@
 	cutRevision model.Revision
 	// withoutMembers is true if the peer first needs the digests of this node's members.
 	withoutMembers bool
+	// search is pollOptions.search.
+	search bool
 	// handled is closed when all messages of the response have been handled.
 	handled chan struct{}
 }
@@ -58,9 +60,16 @@
 // the peer may be followed.
 func (s *Service) handlePollDone(m pollDone) {
 	defer close(m.handled)
-	if s.config.Direct && !s.confirmUpstream(m) {
+	if m.search {
+		s.handleSearchDone(m)
 		return
 	}
+	if s.config.Direct {
+		s.recordResponse()
+		if !s.confirmUpstream(m) {
+			return
+		}
+	}
 	s.planner.exclusions.Restore(m.from.id)
 	if s.planner.failures >= platformFallbackFailures {
 		s.scheduleReplan(replanDelay)
