Exchange: contact with the platform includes the configuration

A node told the nodes that follow it that it is in contact with the platform as soon as the list of instances had been read. Its reading of the configuration may hang, wait for a retry or have just begun: after an outage a node with a slow link reads the instances first and the configuration a second later, which then takes a second or more on its link. Meanwhile all that follow it, directly or not, count as informed, so they neither read the platform nor poll others. Callers at all of them get the older version.

The source now reports readings of the configuration, too, and a node claims contact only while both succeed.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -207,6 +207,16 @@
 // MessageName implements kernel.Message.
 func (PlatformReached) MessageName() string { return "platform-reached" }
 
+// ConfigurationRead reports that the platform's configuration has been read, also if it has
+// not changed, or, with Read false, that it cannot be read.
+// Sent by source, handled by exchange.
+type ConfigurationRead struct {
+	Read bool
+}
+
+// MessageName implements kernel.Message.
+func (ConfigurationRead) MessageName() string { return "configuration-read" }
+
 // Paused reports that the process did not run for Gap. Services that hold leases or
 // state observed from other processes treat it as expired; exchange and source do so.
 // Sent by watchdog.
--- a/internal/service/exchange/follow.go
+++ b/internal/service/exchange/follow.go
@@ -46,8 +46,10 @@
 	// reached is true while the platform responds to this node. It is false while the
 	// node reads nothing.
 	reached bool
-	// reachedAt is when reached became true.
-	reachedAt time.Time
+	// configurationRead is true while the platform responds with the configuration, too, and
+	// readAt is when it became true.
+	configurationRead bool
+	readAt            time.Time
 	// respondedAt is when an upstream last responded. This node polls no random nodes before
 	// searchFrom.
 	respondedAt time.Time
@@ -79,9 +81,6 @@
 		return
 	}
 	f := &s.planner.following
-	if m.Reached && !f.reached {
-		f.reachedAt = s.clock.Now()
-	}
 	f.reached = m.Reached
 	if !m.Reached {
 		f.failedAt = s.clock.Now()
@@ -96,9 +95,22 @@
 	s.updateRole()
 }
 
+// handleConfigurationRead records whether the platform responds with the configuration.
+func (s *Service) handleConfigurationRead(m control.ConfigurationRead) {
+	f := &s.planner.following
+	if !s.config.Direct || m.Read == f.configurationRead {
+		return
+	}
+	f.configurationRead = m.Read
+	if m.Read {
+		f.readAt = s.clock.Now()
+	}
+	s.updateRole()
+}
+
 // current reports whether this node knows the state of the platform from the platform itself.
 func (f *following) current(r role) bool {
-	return r.scope == control.ReadAll && f.reached
+	return r.scope == control.ReadAll && f.reached && f.configurationRead
 }
 
 func (s *Service) measureConfiguration(c *model.Configuration) {
--- a/internal/service/exchange/planner.go
+++ b/internal/service/exchange/planner.go
@@ -118,6 +118,7 @@
 	kernel.Subscribe(loop, s.handlePolled)
 	kernel.Subscribe(loop, func(linkCheck) { s.handleLinkCheck() })
 	kernel.Subscribe(loop, s.handlePlatformReached)
+	kernel.Subscribe(loop, s.handleConfigurationRead)
 }
 
 // repair lists the subtrees that the next poll requests whole because their deltas
@@ -172,7 +173,7 @@
 	s.planner.exclusions.Clear()
 	s.planner.failures = 0
 	s.planner.synchronised = false
-	s.planner.following.reached = false
+	s.planner.following.reached, s.planner.following.configurationRead = false, false
 	clear(s.planner.following.confirmed)
 	next := s.role.Load()
 	next.generation++
@@ -214,6 +215,9 @@
 		if old.scope == control.ReadNothing && next.scope != old.scope {
 			s.planner.following.reached, s.planner.following.unreachable = false, false // until the first call
 		}
+		if next.scope == control.ReadAll && old.scope != next.scope {
+			s.planner.following.configurationRead = false // until the first call that includes it
+		}
 		s.updateContact(next)
 		s.updateSearch(next)
 	}
--- a/internal/service/exchange/search.go
+++ b/internal/service/exchange/search.go
@@ -64,7 +64,7 @@
 	switch {
 	case !s.planner.configured || now.Before(f.searchFrom):
 		return searchOff
-	case f.current(r) && (!r.interim || now.Sub(f.reachedAt) >= s.config.PollTimes.MaxSilence):
+	case f.current(r) && (!r.interim || now.Sub(f.readAt) >= s.config.PollTimes.MaxSilence):
 		return searchOff
 	case now.Sub(f.respondedAt) >= s.config.PollTimes.SearchAfter:
 		return searchFast
--- a/internal/service/source/keys.go
+++ b/internal/service/source/keys.go
@@ -25,18 +25,26 @@
 			s.evacuationsSettled = false
 		}
 		if err := s.assemble(ctx, assembler, wait); err != nil {
+			s.reportConfiguration(ctx, false)
 			retry.failed(ctx, err)
 			s.awaitInstances(ctx)
 			continue
 		}
 		retry.succeeded()
 		s.postCut(ctx, assembler, current)
+		s.reportConfiguration(ctx, true) // other nodes may now rely on what this one knows
 		s.awaitListInterval(ctx)
 		assembler = platformread.NewAssembler(s.knownCut())
 		wait = s.config.Pacing.WatchWait
 	}
 }
 
+func (s *Service) reportConfiguration(ctx context.Context, read bool) {
+	if ctx.Err() == nil {
+		_ = s.loop.Post(ctx, control.ConfigurationRead{Read: read}) // fails with the context only
+	}
+}
+
 // awaitInstances waits until a listing of instances has succeeded, if this node reads in
 // the interim and the last one failed. In an outage all nodes read in the interim, and one
 // of the two listings shows when the platform responds again. The wait has a limit for a
